--- /dev/null
+++ b/cmd/poplarrouter/serve.go
@@ -0,0 +1,106 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"runtime/debug"
+
+	"poplarrouter.example/poplarrouter/internal/app"
+	"poplarrouter.example/poplarrouter/internal/cli"
+	"poplarrouter.example/poplarrouter/internal/config"
+)
+
+const settingsUsage = "the settings file"
+
+// readSettings reads and checks a settings file.
+func readSettings(path string) (config.Settings, error) {
+	if path == "" {
+		return config.Settings{}, &cli.UsageError{Detail: "got no -settings, want a settings file"}
+	}
+	raw, err := os.ReadFile(path)
+	if err != nil {
+		return config.Settings{}, err
+	}
+	return config.Parse(raw)
+}
+
+func serveCommand() *cli.Command {
+	var path string
+	return &cli.Command{
+		CommandName: "serve",
+		Summary:     "run a proxy until SIGTERM or an operator's drain",
+		Text:        "poplarrouter serve -settings FILE\n  Runs a proxy. On SIGTERM it stops listening, lets transactions end, and exits.\n  The log goes to standard output, one JSON object for each event.",
+		Flags:       func(f *flag.FlagSet) { f.StringVar(&path, "settings", "", settingsUsage) },
+		Run: func(ctx context.Context, _ []string) error {
+			settings, err := readSettings(path)
+			if err != nil {
+				return err
+			}
+			return serve(ctx, settings)
+		},
+	}
+}
+
+// CutError reports a drain that ran out of time.
+type CutError struct{ Cut int }
+
+// Error implements error.
+func (e *CutError) Error() string {
+	return fmt.Sprintf("drain: %d callers were cut off when the time allowed was over", e.Cut)
+}
+
+func serve(ctx context.Context, settings config.Settings) error {
+	proxy, cleanUp, err := app.New(settings, os.Stdout)
+	if err != nil {
+		return err
+	}
+	defer cleanUp()
+	select {
+	case <-ctx.Done():
+	case <-proxy.Leave():
+	}
+	if cut := proxy.Drain(); cut > 0 {
+		return &CutError{Cut: cut}
+	}
+	return nil
+}
+
+func settingsCommand() *cli.Command {
+	var path string
+	return &cli.Command{
+		CommandName: "settings",
+		Summary:     "check a settings file",
+		Text:        "poplarrouter settings -settings FILE check\n  Lists every unknown key and bad value by its path.",
+		Flags:       func(f *flag.FlagSet) { f.StringVar(&path, "settings", "", settingsUsage) },
+		Run: func(_ context.Context, args []string) error {
+			if len(args) != 1 || args[0] != "check" {
+				return &cli.UsageError{Detail: "want the word check"}
+			}
+			settings, err := readSettings(path)
+			if err != nil {
+				return err
+			}
+			fmt.Printf("settings of host %s in %s, %s are valid\n", settings.Host, settings.DataCentre, settings.Region)
+			return nil
+		},
+	}
+}
+
+func versionCommand() *cli.Command {
+	return &cli.Command{
+		CommandName: "version",
+		Summary:     "print the version of the program",
+		Text:        "poplarrouter version",
+		Run: func(context.Context, []string) error {
+			info, found := debug.ReadBuildInfo()
+			if !found {
+				fmt.Println("poplarrouter (unknown build)")
+				return nil
+			}
+			fmt.Println("poplarrouter", info.Main.Version, info.GoVersion)
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/cmd/poplarrouter/sheet.go
@@ -0,0 +1,141 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/cli"
+	"poplarrouter.example/poplarrouter/internal/store"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+const (
+	storeTimeout = 10 * time.Second
+	storeWait    = time.Second
+)
+
+type sheetFlags struct {
+	store    string
+	operator string
+}
+
+func sheetCommand() *cli.Command {
+	var f sheetFlags
+	return &cli.Command{
+		CommandName: "sheet",
+		Summary:     "check, load, show or compare the morning sheet",
+		Text: "poplarrouter sheet check FILE\n" +
+			"poplarrouter sheet -store IP:PORT -operator NAME load FILE\n" +
+			"poplarrouter sheet -store IP:PORT show\n" +
+			"poplarrouter sheet -store IP:PORT diff FILE",
+		Flags: func(set *flag.FlagSet) {
+			set.StringVar(&f.store, "store", "", "the store's IP and port")
+			set.StringVar(&f.operator, "operator", os.Getenv("USER"), "the operator's name, told to others who load a sheet")
+		},
+		Run: f.run,
+	}
+}
+
+func (f *sheetFlags) run(ctx context.Context, args []string) error {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	verb, file := argument(args, 0), argument(args, 1)
+	switch verb {
+	case "check":
+		return checkSheet(file)
+	case "load", "show", "diff":
+	default:
+		return &cli.UsageError{Detail: fmt.Sprintf("got %q, want check, load, show or diff", verb)}
+	}
+	if f.store == "" {
+		return &cli.UsageError{Detail: "got no -store, want the store's IP and port"}
+	}
+	client, cleanUp := store.New(f.store, storeWait)
+	defer cleanUp()
+	switch verb {
+	case "load":
+		return f.load(ctx, client, file)
+	case "show":
+		return showSheet(ctx, client)
+	default:
+		return diffSheet(ctx, client, file)
+	}
+}
+
+func argument(args []string, i int) string {
+	if i < len(args) {
+		return args[i]
+	}
+	return ""
+}
+
+func checkSheet(file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	parsed, err := sheet.Parse(strings.NewReader(string(raw)))
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%d rows for %d databases are valid\n", len(parsed.Rows()), len(parsed.Databases()))
+	return nil
+}
+
+func (f *sheetFlags) load(ctx context.Context, client store.Store, file string) error {
+	if f.operator == "" {
+		return &cli.UsageError{Detail: "got no -operator, want your name"}
+	}
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	doc, err := book.Load(ctx, client, f.operator, string(raw), time.Now())
+	if err != nil {
+		return err
+	}
+	fmt.Printf("sheet %d is loaded\n", doc.Serial)
+	return nil
+}
+
+func showSheet(ctx context.Context, client store.Store) error {
+	doc, _, err := book.Fetch(ctx, client)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(os.Stderr, "sheet %d, loaded by %s at %s\n", doc.Serial, doc.LoadedBy, doc.LoadedAt.Format(time.RFC3339))
+	fmt.Print(doc.CSV)
+	return nil
+}
+
+// diffSheet prints the rows that a load of the file would remove and add.
+func diffSheet(ctx context.Context, client store.Store, file string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return err
+	}
+	doc, _, err := book.Fetch(ctx, client)
+	if err != nil {
+		return err
+	}
+	was, now := lines(doc.CSV), lines(string(raw))
+	printMissing("-", was, now)
+	printMissing("+", now, was)
+	return nil
+}
+
+func lines(text string) []string { return strings.Split(strings.TrimSpace(text), "\n") }
+
+func printMissing(mark string, list, other []string) {
+	for _, line := range list {
+		if !slices.Contains(other, line) {
+			fmt.Println(mark + line)
+		}
+	}
+}
--- /dev/null
+++ b/internal/app/app.go
@@ -0,0 +1,255 @@
+// Package app builds a proxy out of its parts.
+package app
+
+import (
+	"context"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"go.uber.org/fx"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/config"
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/gate"
+	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/store"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// Proxy is a running proxy.
+type Proxy struct {
+	app      *fx.App
+	settings config.Settings
+	front    *front.Front
+	log      *event.Log
+	leaving  *leaving
+}
+
+// StartError reports a part of the proxy that could not be started.
+type StartError struct{ Cause error }
+
+// Error implements error.
+func (e *StartError) Error() string { return "start proxy: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *StartError) Unwrap() error { return e.Cause }
+
+const startTimeout = 15 * time.Second
+
+// New starts a proxy that logs to w, and returns it with the clean-up function
+// that ends it at once.
+func New(settings config.Settings, w io.Writer) (*Proxy, func(), error) {
+	p := &Proxy{settings: settings}
+	p.app = fx.New(
+		fx.NopLogger,
+		fx.Supply(settings, fx.Annotate(w, fx.As(new(io.Writer)))),
+		fx.Provide(
+			newLog, newRegistry, newGuard, newStore, newMesh, newBooks, newBases, newSlots, newHandler, newLeaving, newFront, newOperator,
+		),
+		fx.Populate(&p.front, &p.log, &p.leaving),
+		fx.Invoke(joinMesh, func(*operator) {}),
+	)
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	if err := p.app.Start(ctx); err != nil {
+		return nil, nil, &StartError{Cause: err}
+	}
+	p.log.Emit(event.Started, event.Fields{
+		"Host": settings.Host, "Region": settings.Region, "DataCentre": settings.DataCentre, "Callers": p.front.Address(),
+	})
+	return p, p.stop, nil
+}
+
+// Address returns the address on which callers connect.
+func (p *Proxy) Address() string { return p.front.Address() }
+
+// Leave returns a channel that closes when an operator orders the proxy to leave.
+func (p *Proxy) Leave() <-chan struct{} { return p.leaving.asked }
+
+// Drain lets requests in flight and open transactions end, for as long as the
+// settings allow. It returns how many were cut off.
+func (p *Proxy) Drain() int {
+	p.log.Emit(event.Stopping, event.Fields{"Host": p.settings.Host, "Callers": p.front.Callers()})
+	ctx, cancel := context.WithTimeout(context.Background(), p.settings.Timing.DrainMs.Duration())
+	defer cancel()
+	cut := p.front.Drain(ctx)
+	p.log.Emit(event.Stopped, event.Fields{"Host": p.settings.Host, "Cut": cut})
+	return cut
+}
+
+func (p *Proxy) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
+	defer cancel()
+	_ = p.app.Stop(ctx)
+}
+
+// onStop registers a clean-up function.
+func onStop(lc fx.Lifecycle, cleanUp func()) {
+	lc.Append(fx.StopHook(cleanUp))
+}
+
+func newLog(lc fx.Lifecycle, w io.Writer) *event.Log {
+	log, cleanUp := event.New(w)
+	onStop(lc, cleanUp)
+	return log
+}
+
+func newRegistry(log *event.Log) *prometheus.Registry {
+	registry := prometheus.NewRegistry()
+	registry.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "poplarrouter_log_lines_dropped_total", Help: "Log lines that found no room in the ring.",
+	}, func() float64 { return float64(log.Dropped()) }))
+	return registry
+}
+
+func newGuard(log *event.Log, registry *prometheus.Registry) *guard.Guard {
+	return guard.New(log, registry, nil)
+}
+
+func newStore(lc fx.Lifecycle, s config.Settings) store.Store {
+	client, cleanUp := store.New(s.StoreAddress, s.Timing.WatchMs.Duration())
+	onStop(lc, cleanUp)
+	return client
+}
+
+func newMesh(lc fx.Lifecycle, s config.Settings, log *event.Log) (*peer.Mesh, error) {
+	mesh, cleanUp, err := peer.New(peer.Options{
+		Host:    s.Host,
+		Region:  s.Region,
+		Secret:  s.PeerSecret,
+		Beat:    s.Timing.BeatMs.Duration(),
+		Timeout: s.Timing.AskTimeoutMs.Duration(),
+		Log:     log,
+	}, s.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	onStop(lc, cleanUp)
+	return mesh, nil
+}
+
+const storeRetry = 500 * time.Millisecond
+
+func newBooks(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, g *guard.Guard, mesh *peer.Mesh) *ctrl.Books {
+	books, cleanUp := ctrl.NewBooks(ctrl.BooksOptions{
+		Host: s.Host, Region: s.Region, Store: st, Log: log, Guard: g, Spread: mesh, Retry: storeRetry,
+	})
+	onStop(lc, cleanUp)
+	return books
+}
+
+func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh) *ctrl.Bases {
+	login := member.Login{User: s.MemberUser, Password: s.MemberPassword}
+	bases, cleanUp := ctrl.NewBases(ctrl.BasesOptions{
+		Base: ctrl.BaseOptions{
+			Host:     s.Host,
+			Rules:    elect.RulesFor(s.Timing.SuspectMs.Duration()),
+			Poll:     s.Timing.PollMs.Duration(),
+			Timeout:  s.Timing.AskTimeoutMs.Duration(),
+			Watchers: mesh,
+			Store:    st,
+			Dial:     func(m view.Member) member.Control { return member.NewLink(m.Address, login) },
+			Log:      log,
+		},
+		Books:       books,
+		User:        s.MemberUser,
+		Password:    s.MemberPassword,
+		Connections: s.Limits.MemberConnections,
+		IdleCheck:   s.Timing.IdleCheckMs.Duration(),
+		Hosts:       mesh.SetHosts,
+	})
+	onStop(lc, cleanUp)
+	return bases
+}
+
+func newSlots(s config.Settings) *gate.Local {
+	return gate.NewLocal(s.Limits.MemberConnections, s.Limits.Queue)
+}
+
+func newHandler(s config.Settings, bases *ctrl.Bases, books *ctrl.Books, log *event.Log, g *guard.Guard, gates *gate.Local, leaving *leaving) chain.Handler {
+	return chain.New(chain.Options{
+		Bases:      bases,
+		Books:      books,
+		Log:        log,
+		Guard:      g,
+		Region:     s.Region,
+		DataCentre: s.DataCentre,
+		InFlight:   s.Limits.CallerConnections,
+		HeldBytes:  s.Limits.HeldAnswerBytes,
+		Confirm:    s.Timing.ConfirmMs.Duration(),
+		Draining:   leaving.draining,
+		Slots:      gates,
+	})
+}
+
+// leaving tells the chain whether the front drains, since the front is built
+// after the chain, and carries an operator's order to leave.
+type leaving struct {
+	front *front.Front
+	asked chan struct{}
+	once  sync.Once
+}
+
+func newLeaving() *leaving { return &leaving{asked: make(chan struct{})} }
+
+func (l *leaving) ask() { l.once.Do(func() { close(l.asked) }) }
+
+func (l *leaving) draining() bool { return l.front != nil && l.front.Draining() }
+
+func newFront(lc fx.Lifecycle, s config.Settings, h chain.Handler, books *ctrl.Books, log *event.Log, g *guard.Guard, registry *prometheus.Registry, mesh *peer.Mesh, l *leaving) (*front.Front, error) {
+	f, cleanUp, err := front.New(front.Options{
+		Address:      s.CallerAddress,
+		Connections:  s.Limits.CallerConnections,
+		RequestBytes: s.Limits.RequestBytes,
+		Handler:      h,
+		Books:        books,
+		Log:          log,
+		Guard:        g,
+		Registry:     registry,
+		Forward:      mesh.Cancel,
+	})
+	if err != nil {
+		return nil, err
+	}
+	l.front = f
+	onStop(lc, cleanUp)
+	return f, nil
+}
+
+// joinMesh lets the proxy take frames of its peers.
+func joinMesh(lc fx.Lifecycle, mesh *peer.Mesh, books *ctrl.Books, bases *ctrl.Bases, f *front.Front) {
+	onStop(lc, mesh.Start(&handler{Books: books, Bases: bases, front: f}))
+}
+
+// handler takes what peers send.
+type handler struct {
+	*ctrl.Books
+	*ctrl.Bases
+	front *front.Front
+}
+
+var _ peer.Handler = (*handler)(nil)
+
+// TakeDoc implements peer.Handler.
+func (h *handler) TakeDoc(doc book.Doc) { h.Take(doc) }
+
+// Cancel implements peer.Handler.
+func (h *handler) Cancel(processID uint32, secretKey []byte) { h.front.Cancel(processID, secretKey) }
+
+// Judge implements peer.Handler.
+func (h *handler) Judge(database string, term group.Term) bool { return h.Bases.Judge(database, term) }
+
+// Book implements peer.Handler.
+func (h *handler) Book() book.Book { return h.Books.Book() }
--- /dev/null
+++ b/internal/chain/admit.go
@@ -0,0 +1,100 @@
+package chain
+
+import (
+	"context"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+// classify looks up the sheet's row for the request. Inside a transaction the
+// work stays what it was when the transaction began.
+func (f *filters) classify(next Handler) Handler {
+	return func(ctx context.Context, r *Request) error {
+		r.pinned = r.Lease != nil
+		rows, listed := f.Books.Book().Sheet().Access(r.Caller.Service, r.Caller.Name)
+		if !listed {
+			return fault.New(fault.Denied, "classify", "caller %q is no longer allowed on service %q", r.Caller.Name, r.Caller.Service)
+		}
+		work, found := sheet.Work(rows, r.Label)
+		if !found {
+			return fault.New(fault.Unlisted, "classify", "the sheet lists no kind %q for caller %q on service %q", r.Label, r.Caller.Name, r.Caller.Service)
+		}
+		if r.Batch.BeginsReadOnly() {
+			work.Access = sheet.Read
+		}
+		if r.pinned {
+			work.Access = accessOf(r.Lease)
+		}
+		r.Work = work
+		r.Deadline = r.Arrived.Add(work.Deadline)
+		return next(ctx, r)
+	}
+}
+
+func accessOf(l *Lease) sheet.Access {
+	if l.MayWrite {
+		return sheet.Write
+	}
+	return sheet.Read
+}
+
+// admit bounds the requests in the chain and refuses work for what is leaving.
+func (f *filters) admit(next Handler) Handler {
+	return func(ctx context.Context, r *Request) error {
+		if err := f.refuse(r); err != nil {
+			return err
+		}
+		select {
+		case f.inFlight <- struct{}{}:
+		default:
+			return fault.New(fault.Overloaded, "admit", "all %d places for requests are taken", cap(f.inFlight))
+		}
+		defer func() { <-f.inFlight }()
+		return next(ctx, r)
+	}
+}
+
+func (f *filters) refuse(r *Request) error {
+	base, found := f.Bases.Base(r.Work.Database)
+	if !found {
+		return fault.New(fault.NoPrimary, "admit", "the platform lists no database %q", r.Work.Database)
+	}
+	r.base = base
+	if r.pinned {
+		return nil
+	}
+	if f.Draining() {
+		return fault.New(fault.Leaving, "admit", "this proxy is leaving")
+	}
+	if listed, _ := f.Books.Book().Database(r.Work.Database); listed.Leaving {
+		return fault.New(fault.Leaving, "admit", "database %q is leaving", r.Work.Database)
+	}
+	return nil
+}
+
+// Late returns the fault of a request whose deadline has passed before any of it
+// was sent.
+func Late(op string, r *Request) *fault.Error {
+	return fault.New(fault.Late, op, "the work could not begin within its deadline of %s", r.Work.Deadline)
+}
+
+// refusedFields describe a request that ends with a fault.
+func refusedFields(r *Request, err *fault.Error) event.Fields {
+	return event.Fields{
+		"Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Service": r.Caller.Service, "Kind": r.Work.Kind,
+		"Rank": int(r.Work.Rank), "Fault": err.Kind.String(), "Cause": err.Error(),
+		"WaitedMs": time.Since(r.Arrived).Milliseconds(),
+	}
+}
+
+// LogFault logs the fault that ended a request.
+func LogFault(log *event.Log, r *Request, err *fault.Error) {
+	e := event.WorkRefused
+	if err.Kind.Outcome() == fault.Unknown {
+		e = event.OutcomeUnknown
+	}
+	log.Emit(e, refusedFields(r, err))
+}
--- /dev/null
+++ b/internal/chain/chain.go
@@ -0,0 +1,141 @@
+// Package chain is the filter chain through which every request of a caller
+// goes: its kind of work is looked up, it is admitted, routed to a member, lent
+// a connection, run, and, if it wrote, confirmed.
+//
+// A Request travels down the chain. A filter may end it with a fault; the
+// fault's kind then tells whether the work was run. Requests inside an open
+// transaction keep their connection, and pass the filters that would choose one.
+package chain
+
+import (
+	"context"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+// Caller is who sends requests over one connection.
+type Caller struct {
+	// ID numbers the connection within this proxy.
+	ID uint64
+	// Name is the caller's user name.
+	Name string
+	// Service is the service that the caller asked for.
+	Service string
+}
+
+// Lease is a connection lent to a request, or to the transaction it is part of.
+type Lease struct {
+	*member.Conn
+	Member view.Member
+	// MayWrite tells that the work may write, so that its end must be confirmed.
+	MayWrite bool
+	// Owner is the caller to whom the connection is lent.
+	Owner uint64
+
+	pool *member.Pool
+	done func()
+}
+
+// Release gives the connection back. A connection that is not clean is closed.
+func (l *Lease) Release(clean bool) {
+	l.pool.Put(l.Conn, clean)
+	l.done()
+}
+
+// Request is one batch of a caller, with what the filters find out about it.
+type Request struct {
+	Caller Caller
+	Batch  *wire.Batch
+	Out    *wire.Writer
+	// Label is the kind of work that the caller gave, or empty.
+	Label string
+	// Floor is what the caller's reads must see; Token tells that the caller
+	// keeps it itself, so that nothing else need be asked.
+	Floor group.Floor
+	Token bool
+	// Track is told of the connection on which the request runs, and of nil when
+	// it no longer does.
+	Track func(*Lease)
+	// Arrived is when the request was complete.
+	Arrived time.Time
+
+	// Work is the sheet's row for the request.
+	Work sheet.Row
+	// Deadline is when the work must be done.
+	Deadline time.Time
+	// Lease is the connection of the open transaction, or the one the request
+	// is run on.
+	Lease *Lease
+	// Answer sums up the member's answer.
+	Answer wire.Answer
+	// Committed is the position of the request's write, confirmed, or zero.
+	Committed group.Floor
+
+	base    *ctrl.Base
+	pinned  bool
+	targets []view.Member
+	need    group.Floor
+	member  view.Member
+	sends   int
+	refused bool
+}
+
+// Write tells whether the request may write.
+func (r *Request) Write() bool { return r.Work.Access != sheet.Read }
+
+// Handler takes a request to its end.
+type Handler func(ctx context.Context, r *Request) error
+
+// Filter puts a step before a handler.
+type Filter func(next Handler) Handler
+
+// Options are what the filters depend on.
+type Options struct {
+	Bases  *ctrl.Bases
+	Books  *ctrl.Books
+	Log    *event.Log
+	Guard  *guard.Guard
+	Region string
+	// DataCentre is preferred for reads.
+	DataCentre string
+	// InFlight bounds the requests in the chain.
+	InFlight int
+	// HeldBytes bounds what is held back until a write is confirmed.
+	HeldBytes int
+	// Confirm is how long a write waits for its confirmation.
+	Confirm time.Duration
+	// Draining tells whether the proxy is leaving.
+	Draining func() bool
+	// Slots rations the members' slots.
+	Slots Slots
+}
+
+// Slots rations how many requests run on a member at a time.
+type Slots interface {
+	// Acquire waits for a slot of a member until the request's deadline, and
+	// returns the function that gives the slot back. Its faults are not run.
+	Acquire(ctx context.Context, database string, m view.Member, r *Request) (func(), error)
+}
+
+// New returns the chain in the order in which its filters run.
+func New(o Options) Handler {
+	f := &filters{Options: o, inFlight: make(chan struct{}, o.InFlight)}
+	h := f.run
+	for _, filter := range []Filter{f.confirm, f.lend, f.route, f.admit, f.classify} {
+		h = filter(h)
+	}
+	return h
+}
+
+type filters struct {
+	Options
+	inFlight chan struct{}
+}
--- /dev/null
+++ b/internal/chain/run.go
@@ -0,0 +1,146 @@
+package chain
+
+import (
+	"context"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// answerGrace is how much longer than its deadline a request may run before its
+// connection counts as silent. The answer that comes within it is passed on.
+const answerGrace = 2 * time.Second
+
+// run sends the batch, passes the answer on, and, if the work may have written,
+// reads the position behind it.
+func (f *filters) run(_ context.Context, r *Request) error {
+	l := r.Lease
+	r.member = l.Member
+	f.Guard.Assert(guard.OneCaller, l.Owner == r.Caller.ID, event.Fields{"CallerID": r.Caller.ID, "Owner": l.Owner})
+	f.Guard.Assert(guard.AtMostOnce, !l.MayWrite || r.sends == 0, event.Fields{"CallerID": r.Caller.ID, "Sends": r.sends})
+	if time.Now().After(r.Deadline) && !r.pinned {
+		f.drop(r, true)
+		return Late("send", r)
+	}
+	raw, plan := r.Batch.Encode(l.Prepared)
+	if l.MayWrite {
+		raw = appendStatus(raw)
+	}
+	if err := l.SetDeadline(r.Deadline.Add(answerGrace)); err != nil {
+		f.drop(r, false)
+		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
+	}
+	r.sends++
+	r.Track(l)
+	defer r.Track(nil)
+	if _, err := l.Write(raw); err != nil {
+		f.drop(r, false)
+		return fault.Wrap(err, fault.Severed, "send", "the connection to %s ended while the work was sent", l.Member.Name)
+	}
+	return f.receive(r, plan)
+}
+
+func appendStatus(raw []byte) []byte {
+	raw, _ = (&pgproto3.Query{String: member.StatusQuery}).Encode(raw)
+	return raw
+}
+
+func (f *filters) receive(r *Request, plan *wire.Plan) error {
+	l := r.Lease
+	limit := 0
+	if l.MayWrite {
+		limit = f.HeldBytes
+	}
+	r.Out.Begin()
+	answer, err := wire.Relay(l.Frontend, r.Out, plan, l.Prepared, limit)
+	r.Answer = answer
+	if err != nil {
+		f.drop(r, false)
+		return err
+	}
+	if l.MayWrite {
+		if err := f.readPosition(r); err != nil {
+			f.drop(r, false)
+			return err
+		}
+	}
+	if answer.Status == wire.Idle {
+		f.drop(r, !answer.Dirty)
+	}
+	r.refused = l.MayWrite && !r.pinned && !r.Out.Sent() && refusedAsReplica(answer)
+	if r.refused {
+		// The member executed nothing, so that the work may be sent again.
+		r.sends = 0
+	}
+	return nil
+}
+
+// readPosition reads the member's position after the batch. Outside a
+// transaction it is at or past everything that the batch committed.
+func (f *filters) readPosition(r *Request) error {
+	row, err := wire.ReadRow(r.Lease.Frontend)
+	if err != nil {
+		return err
+	}
+	if r.Answer.Status != wire.Idle || r.Answer.Completed == 0 {
+		return nil
+	}
+	state, err := member.ParseState(row)
+	if err != nil || state.Role != group.Primary {
+		return fault.Wrap(err, fault.Unconfirmed, "confirm", "member %s told no position behind the write", r.Lease.Member.Name)
+	}
+	r.Committed = group.Floor{Term: state.Term, Position: state.Received}
+	return nil
+}
+
+// drop ends the request's hold on its connection.
+func (f *filters) drop(r *Request, clean bool) {
+	l := r.Lease
+	r.Lease = nil
+	r.Track(nil)
+	if clean {
+		clean = l.SetDeadline(time.Time{}) == nil
+	}
+	if !clean {
+		f.Log.Emit(event.ConnectionClosed, event.Fields{"Database": r.Work.Database, "Member": l.Member.Name, "CallerID": r.Caller.ID})
+	}
+	l.Release(clean)
+}
+
+// confirm holds the end of the answer back until a majority holds the write in
+// its own term. It judges only after the member's answer has arrived.
+func (f *filters) confirm(next Handler) Handler {
+	return func(ctx context.Context, r *Request) error {
+		if err := next(ctx, r); err != nil {
+			r.Out.Drop()
+			return err
+		}
+		if r.Committed.IsZero() {
+			return nil
+		}
+		primary := r.member.Name
+		// The write is done: its confirmation is not bound to its deadline.
+		waitCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), f.Confirm)
+		defer cancel()
+		v, judged := r.base.Await(waitCtx, func(v view.View) bool { return v.Confirm(primary, r.Committed) != view.Waiting })
+		verdict := v.Confirm(primary, r.Committed)
+		if !judged || verdict != view.Held {
+			r.Out.Drop()
+			return fault.New(fault.Unconfirmed, "confirm", "no majority confirmed position %s in its term (%s)", r.Committed, verdict)
+		}
+		f.Guard.Assert(guard.NoReplacedAck, v.Confirm(primary, r.Committed) == view.Held, event.Fields{"Position": r.Committed.String()})
+		f.Log.Emit(event.WriteConfirmed, event.Fields{
+			"CallerID": r.Caller.ID, "Database": r.Work.Database, "Position": r.Committed.String(),
+			"TookMs": time.Since(r.Arrived).Milliseconds(),
+		})
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/config/config.go
@@ -0,0 +1,110 @@
+// Package config holds the settings of one proxy.
+//
+// Settings are one JSON object with Pascal-case keys. Durations are whole
+// milliseconds and their keys end in Ms. A file is checked as a whole: every
+// unknown key and every bad value is reported by its path.
+package config
+
+import (
+	"time"
+)
+
+// Millis is a duration in whole milliseconds, as settings write it.
+type Millis int
+
+// Duration returns the value as a time.Duration.
+func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
+
+// Place is where a host stands.
+type Place struct {
+	// Host is the name of the host in the platform's host list.
+	Host string
+	// DataCentre is the name of the host's data centre.
+	DataCentre string
+	// Region is the name of the host's region.
+	Region string
+}
+
+// Settings are the settings of one proxy.
+type Settings struct {
+	Place
+	// CallerAddress is the IP and port on which callers connect.
+	CallerAddress string
+	// PeerAddress is the IP and port on which other proxies connect.
+	PeerAddress string
+	// OperatorAddress is the IP and port of health, metrics and orders.
+	OperatorAddress string
+	// StoreAddress is the IP and port of the platform's store.
+	StoreAddress string
+	// PeerSecret authenticates proxies to one another.
+	PeerSecret string
+	// OperatorSecret authenticates operators' orders.
+	OperatorSecret string
+	// MemberUser and MemberPassword log the proxy in at members.
+	MemberUser     string
+	MemberPassword string
+	// Limits bound what the proxy holds.
+	Limits Limits
+	// Timing sets the proxy's periods and timeouts.
+	Timing Timing
+}
+
+// Limits bound what one proxy holds.
+type Limits struct {
+	// CallerConnections is how many callers may be connected.
+	CallerConnections int
+	// MemberConnections is how many pooled connections to each member the
+	// proxy opens, for reads and for writes together.
+	MemberConnections int
+	// Queue is how many requests may wait for each member.
+	Queue int
+	// HeldAnswerBytes bounds the part of an answer that is held back until the
+	// write is confirmed.
+	HeldAnswerBytes int
+	// RequestBytes bounds one request of a caller.
+	RequestBytes int
+}
+
+// Timing sets the periods and timeouts of one proxy.
+type Timing struct {
+	// PollMs is the period between questions to each member.
+	PollMs Millis
+	// AskTimeoutMs ends a question to a member.
+	AskTimeoutMs Millis
+	// SuspectMs is how long a primary must be silent before it is suspected.
+	SuspectMs Millis
+	// ConfirmMs is how long a write waits for its confirmation.
+	ConfirmMs Millis
+	// BeatMs is the period between heartbeats to each peer.
+	BeatMs Millis
+	// WatchMs is how long the store holds a watch.
+	WatchMs Millis
+	// DrainMs is how long a leaving proxy waits for open transactions.
+	DrainMs Millis
+	// IdleCheckMs is how long a connection may idle before it is checked.
+	IdleCheckMs Millis
+}
+
+// Default returns the settings that a file need not give.
+func Default() Settings {
+	return Settings{
+		MemberUser: "poplarrouter",
+		Limits: Limits{
+			CallerConnections: 10_000,
+			MemberConnections: 4,
+			Queue:             1_000,
+			HeldAnswerBytes:   1 << 20,
+			RequestBytes:      1 << 20,
+		},
+		Timing: Timing{
+			PollMs:       250,
+			AskTimeoutMs: 500,
+			SuspectMs:    1_000,
+			ConfirmMs:    5_000,
+			BeatMs:       250,
+			WatchMs:      20_000,
+			DrainMs:      20_000,
+			IdleCheckMs:  5_000,
+		},
+	}
+}
--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,161 @@
+package config
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"reflect"
+	"slices"
+	"strings"
+)
+
+// Fault is one bad value or unknown key.
+type Fault struct {
+	// Path names the key from the top, joined by dots.
+	Path string
+	Got  string
+	Want string
+}
+
+// Error implements error.
+func (f *Fault) Error() string { return fmt.Sprintf("%s: got %s, want %s", f.Path, f.Got, f.Want) }
+
+// Faults lists all that is wrong with a settings file.
+type Faults []*Fault
+
+// Error implements error, with one line for each fault.
+func (f Faults) Error() string {
+	lines := make([]string, 0, len(f))
+	for _, fault := range f {
+		lines = append(lines, fault.Error())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Parse reads settings over the defaults. It returns Faults if anything is
+// wrong, and then no settings.
+func Parse(raw []byte) (Settings, error) {
+	s := Default()
+	var faults Faults
+	decodeObject(raw, reflect.ValueOf(&s).Elem(), "", &faults)
+	if len(faults) == 0 {
+		faults = s.check()
+	}
+	if len(faults) > 0 {
+		return Settings{}, faults
+	}
+	return s, nil
+}
+
+// decodeObject decodes a JSON object into a struct, key by key, so that each
+// fault is found and named by its path.
+func decodeObject(raw []byte, into reflect.Value, path string, faults *Faults) {
+	var object map[string]json.RawMessage
+	if err := json.Unmarshal(raw, &object); err != nil {
+		*faults = append(*faults, &Fault{Path: nonempty(path), Got: err.Error(), Want: "a JSON object"})
+		return
+	}
+	for _, key := range sortedKeys(object) {
+		decodeKey(object[key], into, path, key, faults)
+	}
+}
+
+func decodeKey(raw json.RawMessage, into reflect.Value, path, key string, faults *Faults) {
+	full := strings.TrimPrefix(path+"."+key, ".")
+	field, found := into.Type().FieldByName(key)
+	if !found || field.Anonymous {
+		*faults = append(*faults, &Fault{Path: full, Got: "an unknown key", Want: "a key of the settings"})
+		return
+	}
+	target := into.FieldByName(key)
+	if target.Kind() == reflect.Struct {
+		decodeObject(raw, target, full, faults)
+		return
+	}
+	if bytes.Equal(raw, []byte("null")) || json.Unmarshal(raw, target.Addr().Interface()) != nil {
+		*faults = append(*faults, &Fault{Path: full, Got: string(raw), Want: wanted(target.Kind())})
+	}
+}
+
+func wanted(kind reflect.Kind) string {
+	if kind == reflect.String {
+		return "a string"
+	}
+	return "a whole number"
+}
+
+func nonempty(path string) string {
+	if path == "" {
+		return "settings"
+	}
+	return path
+}
+
+func sortedKeys(object map[string]json.RawMessage) []string {
+	keys := make([]string, 0, len(object))
+	for key := range object {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+const leastSecret = 16
+
+func (s Settings) check() Faults {
+	c := checker{}
+	c.name("Host", s.Host)
+	c.name("DataCentre", s.DataCentre)
+	c.name("Region", s.Region)
+	c.address("CallerAddress", s.CallerAddress)
+	c.address("PeerAddress", s.PeerAddress)
+	c.address("OperatorAddress", s.OperatorAddress)
+	c.address("StoreAddress", s.StoreAddress)
+	c.secret("PeerSecret", s.PeerSecret)
+	c.secret("OperatorSecret", s.OperatorSecret)
+	c.name("MemberUser", s.MemberUser)
+	c.numbers("Limits", reflect.ValueOf(s.Limits))
+	c.numbers("Timing", reflect.ValueOf(s.Timing))
+	c.order(s.Timing)
+	return c.faults
+}
+
+type checker struct{ faults Faults }
+
+func (c *checker) fail(path, got, want string) {
+	c.faults = append(c.faults, &Fault{Path: path, Got: got, Want: want})
+}
+
+func (c *checker) name(path, value string) {
+	if strings.TrimSpace(value) == "" {
+		c.fail(path, "nothing", "a name")
+	}
+}
+
+func (c *checker) address(path, value string) {
+	if _, err := netip.ParseAddrPort(value); err != nil {
+		c.fail(path, fmt.Sprintf("%q", value), "an IP number and a port")
+	}
+}
+
+// secret checks the length of a secret. Its text stays out of the fault.
+func (c *checker) secret(path, value string) {
+	if len(value) < leastSecret {
+		c.fail(path, fmt.Sprintf("%d characters", len(value)), fmt.Sprintf("at least %d characters", leastSecret))
+	}
+}
+
+func (c *checker) numbers(path string, group reflect.Value) {
+	for i := range group.NumField() {
+		if n := group.Field(i).Int(); n < 1 {
+			c.fail(path+"."+group.Type().Field(i).Name, fmt.Sprint(n), "a number above 0")
+		}
+	}
+}
+
+func (c *checker) order(t Timing) {
+	if t.SuspectMs < 2*t.PollMs {
+		c.fail("Timing.SuspectMs", fmt.Sprint(t.SuspectMs), "at least twice Timing.PollMs")
+	}
+}
--- /dev/null
+++ b/internal/ctrl/bases.go
@@ -0,0 +1,191 @@
+package ctrl
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pick"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// maxWatchers bounds how many proxies watch one database for its failure. The
+// bound is odd, so that a cut leaves a majority on one side.
+const maxWatchers = 9
+
+// BasesOptions are what a Bases depends on.
+type BasesOptions struct {
+	Base  BaseOptions
+	Books *Books
+	User  string
+	// Password logs the proxy in at members.
+	Password string
+	// Connections is how many pooled connections each member gets, for reads
+	// and for writes together.
+	Connections int
+	IdleCheck   time.Duration
+	// Hosts is told of each new list of hosts.
+	Hosts func([]book.Host)
+}
+
+// Bases keeps a Base and the pools of connections for each listed database.
+type Bases struct {
+	options BasesOptions
+
+	mu    sync.Mutex
+	bases map[string]*served
+	pools map[poolKey]ownedPool
+}
+
+type served struct {
+	base *Base
+	stop func()
+}
+
+type poolKey struct {
+	database string
+	address  string
+	mode     member.Mode
+}
+
+type ownedPool struct {
+	pool *member.Pool
+	stop func()
+}
+
+// NewBases starts the controller and returns it with its clean-up function.
+func NewBases(options BasesOptions) (*Bases, func()) {
+	b := &Bases{options: options, bases: make(map[string]*served), pools: make(map[poolKey]ownedPool)}
+	stop := duty.Run(b.follow)
+	return b, func() {
+		stop()
+		b.close()
+	}
+}
+
+// Base returns the watch over a database.
+func (b *Bases) Base(name string) (*Base, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	s, found := b.bases[name]
+	if !found {
+		return nil, false
+	}
+	return s.base, true
+}
+
+// Names returns the names of the databases that are watched.
+func (b *Bases) Names() []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	names := make([]string, 0, len(b.bases))
+	for name := range b.bases {
+		names = append(names, name)
+	}
+	return names
+}
+
+// Pool returns the pool of connections of one mode to a member.
+func (b *Bases) Pool(database string, m view.Member, mode member.Mode) *member.Pool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	key := poolKey{database: database, address: m.Address, mode: mode}
+	owned, found := b.pools[key]
+	if !found {
+		login := member.Login{User: b.options.User, Password: b.options.Password, Database: database}
+		limit := max(b.options.Connections/2, 1)
+		owned.pool, owned.stop = member.NewPool(m.Address, login, mode, limit, b.options.IdleCheck)
+		b.pools[key] = owned
+	}
+	return owned.pool
+}
+
+// PoolCount is the use of one pool.
+type PoolCount struct {
+	Database string
+	Address  string
+	ReadOnly bool
+	Lent     int
+	Idle     int
+}
+
+// Pools returns the use of all pools.
+func (b *Bases) Pools() []PoolCount {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	counts := make([]PoolCount, 0, len(b.pools))
+	for key, owned := range b.pools {
+		lent, idle := owned.pool.Counts()
+		counts = append(counts, PoolCount{
+			Database: key.database, Address: key.address, ReadOnly: key.mode == member.ReadOnly, Lent: lent, Idle: idle,
+		})
+	}
+	return counts
+}
+
+// Judge answers another proxy's question about a database's primary.
+func (b *Bases) Judge(database string, term group.Term) bool {
+	base, found := b.Base(database)
+	return found && base.Judge(term)
+}
+
+// TakeVote passes another proxy's answer on.
+func (b *Bases) TakeVote(database string, v elect.Vote) {
+	if base, found := b.Base(database); found {
+		base.Vote(v)
+	}
+}
+
+// follow is the duty that brings the watches in line with the documents.
+func (b *Bases) follow(ctx context.Context) error {
+	for {
+		held, changed := b.options.Books.Watch()
+		b.apply(held)
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (b *Bases) apply(held book.Book) {
+	if held.Serial(book.Hosts) > 0 {
+		b.options.Hosts(held.Hosts())
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	hosts := held.LiveHosts()
+	for _, d := range held.Databases() {
+		s, found := b.bases[d.Name]
+		if !found {
+			s = &served{}
+			s.base, s.stop = NewBase(b.options.Base, d.Name, d.Members)
+			b.bases[d.Name] = s
+		}
+		s.base.SetMembers(d.Members)
+		s.base.SetWatchers(pick.First(d.Name, hosts, maxWatchers))
+	}
+	for name, s := range b.bases {
+		if _, listed := held.Database(name); !listed {
+			s.stop()
+			delete(b.bases, name)
+		}
+	}
+}
+
+func (b *Bases) close() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, s := range b.bases {
+		s.stop()
+	}
+	for _, owned := range b.pools {
+		owned.stop()
+	}
+}
--- /dev/null
+++ b/internal/elect/elect.go
@@ -0,0 +1,69 @@
+// Package elect decides when a primary is replaced, and by which member.
+//
+// One Machine watches one database for one proxy. It does no I/O and has no
+// clock: Step takes the time, the view and one event, and returns the next
+// machine and the actions to carry out. The result of each action comes back as
+// an event.
+//
+// The stages of a promotion, each of which may be lost, doubled or late:
+//
+//	Watching  the primary answers, or nothing is known yet
+//	Polling   the primary is silent: the other watchers are asked
+//	Claiming  a majority of watchers agrees: a term is claimed in the store
+//	Fencing   the members are asked to promise the claimed term
+//	Choosing  a majority has promised: the longest log among them is promoted
+//
+// Safety rests on the members' promises alone. The store's claim keeps watchers
+// from disturbing one another, and lets a lost answer be recognised.
+package elect
+
+import (
+	"time"
+)
+
+// Stage is how far a machine has come with a promotion.
+type Stage uint8
+
+// The stages.
+const (
+	Watching Stage = iota
+	Polling
+	Claiming
+	Fencing
+	Choosing
+)
+
+// String returns the stage in lower case.
+func (s Stage) String() string {
+	return [...]string{"watching", "polling", "claiming", "fencing", "choosing"}[s]
+}
+
+// Rules are the periods of a machine.
+type Rules struct {
+	// Suspect is how long a primary must be silent before it is suspected.
+	Suspect time.Duration
+	// Doubt is how long a primary must be silent to a watcher that is asked by
+	// another, before it agrees.
+	Doubt time.Duration
+	// Repoll is the period between questions to the other watchers.
+	Repoll time.Duration
+	// Stagger is how much later each further watcher claims a term.
+	Stagger time.Duration
+	// Attempt is how long one attempt may take before another may begin.
+	Attempt time.Duration
+	// Grace is how long a promoter waits for further members after a majority
+	// has promised.
+	Grace time.Duration
+}
+
+// RulesFor returns the rules for a primary that may be silent for suspect.
+func RulesFor(suspect time.Duration) Rules {
+	return Rules{
+		Suspect: suspect,
+		Doubt:   suspect * 6 / 10,
+		Repoll:  suspect / 4,
+		Stagger: suspect / 4,
+		Attempt: suspect * 3 / 2,
+		Grace:   suspect / 10,
+	}
+}
--- /dev/null
+++ b/internal/elect/event.go
@@ -0,0 +1,116 @@
+package elect
+
+import (
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// Claim is the value of a database's claim in the store.
+type Claim struct {
+	Term     group.Term
+	Promoter string
+	// Attempt is a random name, by which a promoter knows its own write again.
+	Attempt string
+}
+
+// Vote is a watcher's answer about the primary of a term.
+type Vote struct {
+	From string
+	Term group.Term
+	// Down tells that the primary has been silent to this watcher too.
+	Down bool
+}
+
+// Event is what a machine is told. Exactly one field is set, or none for the
+// passing of time.
+type Event struct {
+	// Vote is another watcher's answer.
+	Vote *Vote
+	// Claimed is the end of a claim.
+	Claimed *Claimed
+	// Answer is a member's answer to an order.
+	Answer *Answer
+	// Handover is an operator's order to change the primary.
+	Handover *Handover
+}
+
+// Handover names the member that is to become the primary.
+type Handover struct{ Target string }
+
+// Claimed is the result of a ClaimTerm action.
+type Claimed struct {
+	// Won tells that the store holds the machine's claim.
+	Won bool
+	// Conflict tells that another watcher's claim came first. If neither is set,
+	// the store could not be reached.
+	Conflict bool
+	Claim    Claim
+}
+
+// Answer is a member's answer to Fence or Promote.
+type Answer struct {
+	Member string
+	Term   group.Term
+	// Refused tells that the member's promises forbid the order.
+	Refused bool
+	// Failed tells that no answer came; the order may have taken effect.
+	Failed bool
+	// State is the member's state after the order.
+	State group.State
+}
+
+// Action is what the shell must do. Exactly one field is set.
+type Action struct {
+	// AskWatchers asks the other watchers about the primary of a term.
+	AskWatchers *AskWatchers
+	// ClaimTerm writes a claim of a term after the given one to the store.
+	ClaimTerm *ClaimTerm
+	// Fence asks a member to promise a term.
+	Fence *Order
+	// Promote makes a member the primary of a term.
+	Promote *Order
+	// Follow makes a member a replica of the primary.
+	Follow *Follow
+	// Note is something to log.
+	Note *Note
+}
+
+// AskWatchers names the term whose primary is suspected.
+type AskWatchers struct{ Term group.Term }
+
+// ClaimTerm names the term after which a term is to be claimed.
+type ClaimTerm struct{ After group.Term }
+
+// Order is an order to a member in a claimed term.
+type Order struct {
+	Member string
+	Claim  Claim
+}
+
+// Follow names a member and the primary that it is to follow.
+type Follow struct {
+	Member string
+	Term   group.Term
+	Leader view.Member
+	Starts []group.Start
+}
+
+// NoteKind tells what a Note reports.
+type NoteKind uint8
+
+// The kinds of notes.
+const (
+	Suspected NoteKind = iota
+	SuspicionEnded
+	ClaimWon
+	ClaimLost
+	MemberPromoted
+	AttemptFailed
+)
+
+// Note is a step of a promotion, for the log.
+type Note struct {
+	Kind   NoteKind
+	Term   group.Term
+	Member string
+}
--- /dev/null
+++ b/internal/front/front.go
@@ -0,0 +1,233 @@
+// Package front serves callers: it accepts their connections, logs them in
+// against the sheet, reads their requests and hands them to the filter chain.
+//
+// A connection is a Session. It is idle, or it has one request in the chain, or
+// it holds a member's connection for its open transaction.
+package front
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+)
+
+// Options are what a Front depends on.
+type Options struct {
+	Address string
+	// Connections bounds the callers connected at a time.
+	Connections int
+	// RequestBytes bounds one request.
+	RequestBytes int
+	Handler      chain.Handler
+	Books        *ctrl.Books
+	Log          *event.Log
+	Guard        *guard.Guard
+	Registry     prometheus.Registerer
+	// Forward passes on a cancel request for a caller of another proxy.
+	Forward func(processID uint32, secretKey []byte)
+}
+
+// Front serves callers.
+type Front struct {
+	options  Options
+	listener net.Listener
+	counts   counts
+	draining atomic.Bool
+
+	mu       sync.Mutex
+	sessions map[uint64]*Session
+	nextID   uint64
+	ended    duty.Group
+}
+
+type counts struct {
+	requests *prometheus.CounterVec
+	seconds  *prometheus.HistogramVec
+	callers  prometheus.Gauge
+}
+
+// New listens and returns the front with its clean-up function, which closes
+// every connection at once.
+func New(options Options) (*Front, func(), error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	f := &Front{options: options, listener: listener, sessions: make(map[uint64]*Session), counts: newCounts(options.Registry)}
+	stop := duty.Run(f.accept)
+	return f, func() {
+		_ = listener.Close()
+		f.closeAll()
+		stop()
+		f.ended.Wait()
+	}, nil
+}
+
+func newCounts(registry prometheus.Registerer) counts {
+	c := counts{
+		requests: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "poplarrouter_requests_total", Help: "Requests of callers, by rank and by how they ended.",
+		}, []string{"rank", "end"}),
+		seconds: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "poplarrouter_request_seconds", Help: "Time from a request's arrival to its end, by rank.",
+			Buckets: prometheus.ExponentialBuckets(0.0005, 2, 16),
+		}, []string{"rank"}),
+		callers: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "poplarrouter_callers", Help: "Callers connected.",
+		}),
+	}
+	registry.MustRegister(c.requests, c.seconds, c.callers)
+	return c
+}
+
+// Address returns the address on which callers connect.
+func (f *Front) Address() string { return f.listener.Addr().String() }
+
+// Draining tells whether the proxy is leaving.
+func (f *Front) Draining() bool { return f.draining.Load() }
+
+func (f *Front) accept(ctx context.Context) error {
+	for {
+		conn, err := f.listener.Accept()
+		if err != nil {
+			return err
+		}
+		f.ended.Go(ctx, func(ctx context.Context) error { return f.serve(ctx, conn) })
+	}
+}
+
+// serve is the duty of one caller's connection.
+func (f *Front) serve(ctx context.Context, conn net.Conn) error {
+	defer func() { _ = conn.Close() }()
+	s, err := f.admit(conn)
+	if err != nil {
+		refuse(conn, fault.Of(err))
+		return err
+	}
+	defer f.forget(s)
+	return s.serve(ctx)
+}
+
+// refuse tells a caller that is not let in.
+func refuse(conn net.Conn, err *fault.Error) {
+	_ = conn.SetDeadline(time.Now().Add(loginTimeout))
+	raw, _ := fatal(err).Encode(nil)
+	_, _ = conn.Write(raw)
+}
+
+func (f *Front) admit(conn net.Conn) (*Session, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.draining.Load() {
+		return nil, fault.New(fault.Leaving, "connect", "this proxy is leaving")
+	}
+	if len(f.sessions) >= f.options.Connections {
+		return nil, fault.New(fault.Overloaded, "connect", "all %d connections are taken", f.options.Connections)
+	}
+	f.nextID++
+	s := newSession(f, conn, f.nextID)
+	f.sessions[s.id] = s
+	f.counts.callers.Set(float64(len(f.sessions)))
+	return s, nil
+}
+
+func (f *Front) forget(s *Session) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	delete(f.sessions, s.id)
+	f.counts.callers.Set(float64(len(f.sessions)))
+}
+
+func (f *Front) list() []*Session {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	sessions := make([]*Session, 0, len(f.sessions))
+	for _, s := range f.sessions {
+		sessions = append(sessions, s)
+	}
+	return sessions
+}
+
+func (f *Front) closeAll() {
+	for _, s := range f.list() {
+		_ = s.conn.Close()
+	}
+}
+
+// Callers returns how many callers are connected.
+func (f *Front) Callers() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sessions)
+}
+
+const drainLook = 5 * time.Millisecond
+
+// Drain stops listening, ends idle sessions, and waits until those with a
+// request in flight or an open transaction have ended theirs, or the context
+// ends. It returns how many were cut off.
+func (f *Front) Drain(ctx context.Context) int {
+	f.draining.Store(true)
+	_ = f.listener.Close()
+	for {
+		sessions := f.list()
+		for _, s := range sessions {
+			s.endIfIdle()
+		}
+		if len(sessions) == 0 {
+			return 0
+		}
+		select {
+		case <-time.After(drainLook):
+		case <-ctx.Done():
+			cut := f.countBusy()
+			f.options.Guard.Assert(guard.NoCutRequest, cut == 0, event.Fields{"Cut": cut})
+			f.closeAll()
+			return cut
+		}
+	}
+}
+
+func (f *Front) countBusy() int {
+	busy := 0
+	for _, s := range f.list() {
+		if s.busy() {
+			busy++
+		}
+	}
+	return busy
+}
+
+// Cancel cancels the request of the session that has the given key, and tells
+// whether there is one.
+func (f *Front) Cancel(processID uint32, secretKey []byte) bool {
+	for _, s := range f.list() {
+		if s.holdsKey(processID, secretKey) {
+			s.cancel()
+			return true
+		}
+	}
+	return false
+}
+
+const secretBytes = 4
+
+func newKey() *pgproto3.BackendKeyData {
+	raw := make([]byte, 2*secretBytes)
+	_, _ = rand.Read(raw)
+	return &pgproto3.BackendKeyData{ProcessID: binary.BigEndian.Uint32(raw), SecretKey: raw[secretBytes:]}
+}
--- /dev/null
+++ b/internal/front/login.go
@@ -0,0 +1,267 @@
+package front
+
+import (
+	"encoding/base64"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/xdg-go/scram"
+
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+const (
+	loginTimeout = 10 * time.Second
+	mechanism    = "SCRAM-SHA-256"
+	// maxStartups bounds how often a caller may ask for encryption before it
+	// starts.
+	maxStartups = 3
+)
+
+// errCancelled ends a connection that only carried a cancel request.
+var errCancelled = errors.New("login: the connection carried a cancel request")
+
+// login reads the start-up messages, checks who the caller is, and greets it.
+func (s *Session) login() error {
+	if err := s.conn.SetDeadline(time.Now().Add(loginTimeout)); err != nil {
+		return err
+	}
+	start, err := s.readStartup()
+	if err != nil {
+		return err
+	}
+	if err := s.identify(start); err != nil {
+		return err
+	}
+	if err := s.authenticate(); err != nil {
+		return err
+	}
+	if err := s.greet(); err != nil {
+		return err
+	}
+	return s.conn.SetDeadline(time.Time{})
+}
+
+func (s *Session) readStartup() (*pgproto3.StartupMessage, error) {
+	for range maxStartups {
+		message, err := s.backend.ReceiveStartupMessage()
+		if err != nil {
+			return nil, fault.Wrap(err, fault.Protocol, "log in", "got no start-up message")
+		}
+		switch start := message.(type) {
+		case *pgproto3.StartupMessage:
+			return start, nil
+		case *pgproto3.CancelRequest:
+			s.front.takeCancel(start)
+			return nil, errCancelled
+		default:
+			if _, err := s.conn.Write([]byte("N")); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return nil, fault.New(fault.Protocol, "log in", "got %d requests for encryption, want a start-up message", maxStartups)
+}
+
+func (f *Front) takeCancel(request *pgproto3.CancelRequest) {
+	if !f.Cancel(request.ProcessID, request.SecretKey) {
+		f.options.Forward(request.ProcessID, request.SecretKey)
+	}
+}
+
+// identify checks that the sheet allows the caller on the service, before any
+// member is touched, and reads the settings that it gave.
+func (s *Session) identify(start *pgproto3.StartupMessage) error {
+	s.caller.Name = start.Parameters["user"]
+	s.caller.Service = start.Parameters["database"]
+	if s.caller.Service == "" {
+		s.caller.Service = s.caller.Name
+	}
+	if _, allowed := s.front.options.Books.Book().Sheet().Access(s.caller.Service, s.caller.Name); !allowed {
+		return fault.New(fault.Denied, "log in", "caller %q is not allowed on service %q", s.caller.Name, s.caller.Service)
+	}
+	for name, value := range start.Parameters {
+		if err := s.set(name, value); err != nil {
+			return err
+		}
+	}
+	return s.readOptions(start.Parameters["options"])
+}
+
+// readOptions reads the proxy's settings out of a start-up option such as
+// "-c poplarrouter.kind=stock". Others are left to the member's defaults.
+func (s *Session) readOptions(options string) error {
+	for field := range strings.FieldsSeq(strings.ReplaceAll(options, "-c ", "-c")) {
+		name, value, found := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(field, "--"), "-c"), "=")
+		if !found {
+			continue
+		}
+		if err := s.set(name, value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// set takes one of the proxy's settings; others are ignored.
+func (s *Session) set(name, value string) error {
+	switch strings.ToLower(name) {
+	case wire.LabelSetting:
+		s.label = value
+	case wire.FloorSetting:
+		if value == "" {
+			s.floor, s.token = group.Floor{}, true
+			return nil
+		}
+		floor, err := group.ParseFloor(value)
+		if err != nil {
+			return fault.Wrap(err, fault.Protocol, "set "+wire.FloorSetting, "got %q, want term:position", value)
+		}
+		s.floor, s.token = floor, true
+	}
+	return nil
+}
+
+// authenticate runs a SCRAM exchange against the verifier in the sheet.
+func (s *Session) authenticate() error {
+	secret, _ := s.front.options.Books.Book().Sheet().Secret(s.caller.Name)
+	credentials, err := parseVerifier(secret)
+	if err != nil {
+		return err
+	}
+	server, err := scram.SHA256.NewServer(func(string) (scram.StoredCredentials, error) { return credentials, nil })
+	if err != nil {
+		return fault.Wrap(err, fault.Denied, "log in", "authentication is not available")
+	}
+	s.backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	return s.converse(server.NewConversation())
+}
+
+func (s *Session) converse(conversation *scram.ServerConversation) error {
+	denied := func(cause error) error {
+		return fault.Wrap(cause, fault.Denied, "log in", "password authentication failed for caller %q", s.caller.Name)
+	}
+	first, err := receiveAs[*pgproto3.SASLInitialResponse](s.backend, pgproto3.AuthTypeSASL)
+	if err != nil {
+		return denied(err)
+	}
+	if first.AuthMechanism != mechanism {
+		return denied(fault.New(fault.Protocol, "log in", "got mechanism %q, want %q", first.AuthMechanism, mechanism))
+	}
+	challenge, err := conversation.Step(string(first.Data))
+	if err != nil {
+		return denied(err)
+	}
+	s.backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	if err := s.backend.Flush(); err != nil {
+		return err
+	}
+	second, err := receiveAs[*pgproto3.SASLResponse](s.backend, pgproto3.AuthTypeSASLContinue)
+	if err != nil {
+		return denied(err)
+	}
+	final, err := conversation.Step(string(second.Data))
+	if err != nil || !conversation.Valid() {
+		return denied(err)
+	}
+	s.backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	return nil
+}
+
+func receiveAs[M pgproto3.FrontendMessage](b *pgproto3.Backend, authType uint32) (M, error) {
+	var none M
+	if err := b.SetAuthType(authType); err != nil {
+		return none, err
+	}
+	message, err := b.Receive()
+	if err != nil {
+		return none, err
+	}
+	typed, ok := message.(M)
+	if !ok {
+		return none, fault.New(fault.Protocol, "log in", "got message %T, want %T", message, none)
+	}
+	return typed, nil
+}
+
+// parseVerifier reads a verifier of the form
+// SCRAM-SHA-256$iterations:salt$stored:server, as PostgreSQL keeps it.
+func parseVerifier(text string) (scram.StoredCredentials, error) {
+	bad := fault.New(fault.Denied, "log in", "the sheet holds no usable verifier")
+	parts := strings.FieldsFunc(text, func(r rune) bool { return r == '$' || r == ':' })
+	const wantParts = 5
+	if len(parts) != wantParts {
+		return scram.StoredCredentials{}, bad
+	}
+	iterations, err := strconv.Atoi(parts[1])
+	if err != nil {
+		return scram.StoredCredentials{}, bad
+	}
+	var decoded [3][]byte
+	for i := range decoded {
+		decoded[i], err = base64.StdEncoding.DecodeString(parts[i+2])
+		if err != nil {
+			return scram.StoredCredentials{}, bad
+		}
+	}
+	return scram.StoredCredentials{
+		KeyFactors: scram.KeyFactors{Salt: string(decoded[0]), Iters: iterations},
+		StoredKey:  decoded[1],
+		ServerKey:  decoded[2],
+	}, nil
+}
+
+// Verifier returns the verifier of a password, for a sheet's Secret column.
+func Verifier(password, salt string, iterations int) (string, error) {
+	client, err := scram.SHA256.NewClient("", password, "")
+	if err != nil {
+		return "", err
+	}
+	c, err := client.GetStoredCredentialsWithError(scram.KeyFactors{Salt: salt, Iters: iterations})
+	if err != nil {
+		return "", err
+	}
+	encode := func(raw []byte) string { return base64.StdEncoding.EncodeToString(raw) }
+	return mechanism + "$" + strconv.Itoa(iterations) + ":" + encode([]byte(salt)) + "$" + encode(c.StoredKey) + ":" + encode(c.ServerKey), nil
+}
+
+// greet ends the log-in. The caller learns its cancel key, and the settings that
+// drivers expect of a server.
+func (s *Session) greet() error {
+	s.backend.Send(&pgproto3.AuthenticationOk{})
+	for _, status := range []pgproto3.ParameterStatus{
+		{Name: "server_version", Value: "16.0"},
+		{Name: "server_encoding", Value: "UTF8"},
+		{Name: "client_encoding", Value: "UTF8"},
+		{Name: "DateStyle", Value: "ISO, MDY"},
+		{Name: "integer_datetimes", Value: "on"},
+		{Name: "standard_conforming_strings", Value: "on"},
+		{Name: wire.FloorSetting, Value: s.floor.String()},
+	} {
+		s.backend.Send(&status)
+	}
+	s.backend.Send(s.key)
+	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: wire.Idle})
+	return s.backend.Flush()
+}
+
+func fatal(err *fault.Error) *pgproto3.ErrorResponse {
+	response := errorResponse(err)
+	response.Severity, response.SeverityUnlocalized = "FATAL", "FATAL"
+	return response
+}
+
+func errorResponse(err *fault.Error) *pgproto3.ErrorResponse {
+	return &pgproto3.ErrorResponse{
+		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: err.Kind.SQLState(), Message: err.Message(),
+		Detail: "Outcome: " + err.Kind.Outcome().String() + ".",
+	}
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,120 @@
+// Package gate gives out the slots of one member to waiting requests, in the
+// order that package slots decides.
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/slots"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+)
+
+// Gate gives out a fixed number of slots.
+type Gate struct {
+	mu      sync.Mutex
+	queue   *slots.Queue
+	free    int
+	nextID  uint64
+	waiting map[uint64]chan error
+	takes   time.Duration
+}
+
+// New returns a gate with so many slots, and room for limit waiting requests.
+func New(policy slots.Policy, count, limit int) *Gate {
+	return &Gate{queue: slots.New(policy, limit), free: count, waiting: make(map[uint64]chan error)}
+}
+
+// Counts returns how many slots are free and how many requests wait.
+func (g *Gate) Counts() (free, waiting int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.free, g.queue.Len()
+}
+
+// Acquire waits for a slot, and returns the function that gives it back, which
+// must be called once. The work's ID is set by the gate. It returns a Late fault
+// if the deadline comes too near, and an Overloaded fault if the queue is full.
+func (g *Gate) Acquire(ctx context.Context, w slots.Work) (func(), error) {
+	granted := g.join(w)
+	select {
+	case err := <-granted.answer:
+		if err != nil {
+			return nil, err
+		}
+		return g.lent(time.Now()), nil
+	case <-ctx.Done():
+		return nil, g.leave(granted)
+	}
+}
+
+type ticket struct {
+	id     uint64
+	answer chan error
+}
+
+func (g *Gate) join(w slots.Work) ticket {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextID++
+	w.ID = g.nextID
+	t := ticket{id: w.ID, answer: make(chan error, 1)}
+	g.waiting[w.ID] = t.answer
+	if out, full := g.queue.Add(w); full {
+		g.tell(out, fault.New(fault.Overloaded, "wait for slot", "the member's queue is full"))
+	}
+	g.hand(time.Now())
+	return t
+}
+
+// leave takes a ticket back whose holder no longer waits. A slot that was
+// granted meanwhile goes to the next.
+func (g *Gate) leave(t ticket) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if !g.queue.Remove(t.id) {
+		if err := <-t.answer; err != nil {
+			return err
+		}
+		g.free++
+		g.hand(time.Now())
+	}
+	delete(g.waiting, t.id)
+	return fault.New(fault.Late, "wait for slot", "no slot became free within the deadline")
+}
+
+// hand gives free slots to waiting work, and turns away what is late. The lock
+// must be held.
+func (g *Gate) hand(now time.Time) {
+	for _, w := range g.queue.Late(now, g.takes) {
+		g.tell(w, fault.New(fault.Late, "wait for slot", "the deadline is nearer than the %s that work takes", g.takes))
+	}
+	for g.free > 0 {
+		w, found := g.queue.Next()
+		if !found {
+			return
+		}
+		g.free--
+		g.tell(w, nil)
+	}
+}
+
+func (g *Gate) tell(w slots.Work, err error) {
+	g.waiting[w.ID] <- err
+	delete(g.waiting, w.ID)
+}
+
+// learnShare is the weight of the newest time in the running mean.
+const learnShare = 8
+
+// lent returns the function that gives a slot back.
+func (g *Gate) lent(since time.Time) func() {
+	return func() {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		g.takes += (time.Since(since) - g.takes) / learnShare
+		g.free++
+		g.hand(time.Now())
+	}
+}
--- /dev/null
+++ b/internal/guard/guard.go
@@ -0,0 +1,82 @@
+// Package guard asserts the promises of the proxy while it runs.
+//
+// A broken promise is an event in the log and a count in the metrics; in tests
+// it ends the test. The asserting code stands beside the decision that it
+// watches, and takes its facts from another source than the decision does.
+package guard
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"poplarrouter.example/poplarrouter/internal/event"
+)
+
+// Promise names what must always hold.
+type Promise string
+
+// The promises.
+const (
+	// ReadYourWrites: a read sees every write acknowledged to its session.
+	ReadYourWrites Promise = "read-your-writes"
+	// NoReplacedAck: no write is acknowledged for a primary that was replaced.
+	NoReplacedAck Promise = "no-replaced-ack"
+	// OneCaller: a database transaction holds statements of one caller only.
+	OneCaller Promise = "one-caller"
+	// WholeAnswer: a caller receives the complete answer to its own request.
+	WholeAnswer Promise = "whole-answer"
+	// HonestRefusal: work reported as not run was not sent.
+	HonestRefusal Promise = "honest-refusal"
+	// AtMostOnce: work that is not idempotent is sent at most once.
+	AtMostOnce Promise = "at-most-once"
+	// NoLeavingWork: a leaving database receives no new work.
+	NoLeavingWork Promise = "no-leaving-work"
+	// NoCutRequest: a graceful shutdown cuts off no request.
+	NoCutRequest Promise = "no-cut-request"
+	// SheetForward: a sheet never gives way to an older one.
+	SheetForward Promise = "sheet-forward"
+)
+
+// Promises returns all promises.
+func Promises() []Promise {
+	return []Promise{
+		ReadYourWrites, NoReplacedAck, OneCaller, WholeAnswer, HonestRefusal,
+		AtMostOnce, NoLeavingWork, NoCutRequest, SheetForward,
+	}
+}
+
+// Guard asserts promises.
+type Guard struct {
+	log    *event.Log
+	broken *prometheus.CounterVec
+	failed func(Promise)
+}
+
+// New returns a guard that logs and counts broken promises, and calls failed
+// for each if it is not nil.
+func New(log *event.Log, registry prometheus.Registerer, failed func(Promise)) *Guard {
+	broken := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "poplarrouter_invariants_broken_total",
+		Help: "Promises found broken, by promise.",
+	}, []string{"promise"})
+	registry.MustRegister(broken)
+	for _, p := range Promises() {
+		broken.WithLabelValues(string(p))
+	}
+	return &Guard{log: log, broken: broken, failed: failed}
+}
+
+// Assert reports the promise as broken unless it holds.
+func (g *Guard) Assert(p Promise, holds bool, fields event.Fields) {
+	if holds {
+		return
+	}
+	g.broken.WithLabelValues(string(p)).Inc()
+	line := event.Fields{"Promise": string(p)}
+	for name, value := range fields {
+		line[name] = value
+	}
+	g.log.Emit(event.InvariantBroken, line)
+	if g.failed != nil {
+		g.failed(p)
+	}
+}
--- /dev/null
+++ b/internal/labdb/engine.go
@@ -0,0 +1,98 @@
+package labdb
+
+import (
+	"context"
+	"database/sql"
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+
+	// The driver registers itself as "sqlite".
+	_ "modernc.org/sqlite"
+)
+
+// engine keeps the rows of one member in a file of a directory of its own.
+type engine struct {
+	db  *sql.DB
+	dir string
+}
+
+const pragmas = "?_pragma=journal_mode(WAL)&_pragma=synchronous(OFF)&_pragma=busy_timeout(10000)"
+
+func newEngine() (*engine, func(), error) {
+	dir, err := os.MkdirTemp("", "poplarlab")
+	if err != nil {
+		return nil, nil, err
+	}
+	db, err := sql.Open("sqlite", "file:"+filepath.Join(dir, "rows.db")+pragmas)
+	if err != nil {
+		return nil, nil, err
+	}
+	e := &engine{db: db, dir: dir}
+	return e, e.close, nil
+}
+
+func (e *engine) close() {
+	_ = e.db.Close()
+	_ = os.RemoveAll(e.dir)
+}
+
+// replay applies one log entry.
+func (e *engine) replay(ctx context.Context, entry Entry) error {
+	tx, err := e.db.BeginTx(ctx, nil)
+	if err != nil {
+		return err
+	}
+	for _, st := range entry.Statements {
+		if _, err := tx.ExecContext(ctx, placeholders(st.SQL), values(st.Args)...); err != nil {
+			_ = tx.Rollback()
+			return err
+		}
+	}
+	return tx.Commit()
+}
+
+// clear drops every table, so that the log can be replayed from its start.
+func (e *engine) clear(ctx context.Context) error {
+	rows, err := e.db.QueryContext(ctx, "SELECT name FROM sqlite_master WHERE type = 'table' AND name NOT LIKE 'sqlite_%'")
+	if err != nil {
+		return err
+	}
+	var names []string
+	for rows.Next() {
+		var name string
+		if err := rows.Scan(&name); err != nil {
+			return err
+		}
+		names = append(names, name)
+	}
+	if err := rows.Err(); err != nil {
+		return err
+	}
+	for _, name := range names {
+		if _, err := e.db.ExecContext(ctx, `DROP TABLE "`+strings.ReplaceAll(name, `"`, `""`)+`"`); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+var dollar = regexp.MustCompile(`\$([0-9]+)`)
+
+// placeholders rewrites $1 to ?1.
+func placeholders(text string) string {
+	return dollar.ReplaceAllString(text, "?$1")
+}
+
+func values(args []*string) []any {
+	list := make([]any, 0, len(args))
+	for _, a := range args {
+		if a == nil {
+			list = append(list, nil)
+			continue
+		}
+		list = append(list, *a)
+	}
+	return list
+}
--- /dev/null
+++ b/internal/labdb/labdb.go
@@ -0,0 +1,194 @@
+// Package labdb is a stand-in for a database member: a small server of the
+// PostgreSQL protocol with terms, log positions, asynchronous replication, a
+// limit of connections and of statements at a time, and orders to fence,
+// promote and follow. An embedded SQL library keeps the rows.
+//
+// Replication is by statement, so statements must be deterministic. A member
+// that follows a primary fetches log entries over the same port.
+package labdb
+
+import (
+	"context"
+	"database/sql"
+	"net"
+	"sync"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// Options describe one member.
+type Options struct {
+	// Address is the IP and port to listen on; port 0 picks a free one.
+	Address string
+	// Leader is the address of the primary to follow; empty for a primary.
+	Leader string
+	// Slots is how many statements run at a time.
+	Slots int
+	// Connections is how many connections are accepted at a time.
+	Connections int
+	// ConnectDelay is how long a new connection takes.
+	ConnectDelay time.Duration
+	// ApplyLag is how long a replica waits before it applies an entry.
+	ApplyLag time.Duration
+	// ServiceTime is how long each statement holds its slot at least.
+	ServiceTime time.Duration
+}
+
+// Member is a running stand-in.
+type Member struct {
+	options  Options
+	listener net.Listener
+	engine   *engine
+	slots    chan struct{}
+	writer   chan struct{}
+
+	mu       sync.Mutex
+	log      replog
+	changed  chan struct{}
+	sessions map[*session]struct{}
+	nextKey  uint32
+}
+
+// New starts a member and returns it with its clean-up function.
+func New(options Options) (*Member, func(), error) {
+	rows, closeEngine, err := newEngine()
+	if err != nil {
+		return nil, nil, err
+	}
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		closeEngine()
+		return nil, nil, err
+	}
+	role := group.Primary
+	if options.Leader != "" {
+		role = group.Replica
+	}
+	m := &Member{
+		options:  options,
+		listener: listener,
+		engine:   rows,
+		slots:    make(chan struct{}, max(options.Slots, 1)),
+		writer:   make(chan struct{}, 1),
+		log:      newReplog(role, options.Leader),
+		changed:  make(chan struct{}),
+		sessions: make(map[*session]struct{}),
+	}
+	stopServe := duty.Run(m.serve)
+	stopFetch := duty.Run(m.fetch)
+	stopApply := duty.Run(m.apply)
+	return m, func() {
+		_ = listener.Close()
+		m.closeSessions()
+		stopServe()
+		stopFetch()
+		stopApply()
+		closeEngine()
+	}, nil
+}
+
+// Address returns the address on which the member listens.
+func (m *Member) Address() string { return m.listener.Addr().String() }
+
+// State returns what the member reports of itself.
+func (m *Member) State() group.State {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.log.state()
+}
+
+// order runs a change of the log under the lock and wakes those who wait.
+func (m *Member) order(change func(*replog) error) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if err := change(&m.log); err != nil {
+		return err
+	}
+	m.wake()
+	return nil
+}
+
+// wake tells waiting duties that the log has changed. The lock must be held.
+func (m *Member) wake() {
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// commit ends an engine transaction and appends its statements to the log, if
+// the member may commit.
+func (m *Member) commit(tx *sql.Tx, statements []Statement) error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if len(statements) == 0 {
+		return tx.Commit()
+	}
+	if err := m.log.writable(); err != nil {
+		_ = tx.Rollback()
+		return err
+	}
+	if err := tx.Commit(); err != nil {
+		return err
+	}
+	m.log.entries = append(m.log.entries, Entry{Term: m.log.term, Statements: statements})
+	m.log.applied++
+	m.wake()
+	return nil
+}
+
+// tail returns the entries after a position, waiting a short time for one.
+func (m *Member) tail(ctx context.Context, term group.Term, after int) ([]Entry, error) {
+	timeout := time.After(tailWait)
+	for {
+		entries, changed, err := m.peekTail(term, after)
+		if err != nil || len(entries) > 0 {
+			return entries, err
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return nil, nil
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+const (
+	tailWait  = 200 * time.Millisecond
+	tailBatch = 256
+)
+
+func (m *Member) peekTail(term group.Term, after int) ([]Entry, <-chan struct{}, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.log.term != term || m.log.role != group.Primary {
+		return nil, nil, &ReadOnlyError{Term: m.log.term}
+	}
+	if after >= len(m.log.entries) {
+		return nil, m.changed, nil
+	}
+	entries := m.log.entries[after:]
+	return entries[:min(len(entries), tailBatch)], m.changed, nil
+}
+
+func (m *Member) serve(ctx context.Context) error {
+	var group sync.WaitGroup
+	defer group.Wait()
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return err
+		}
+		group.Go(func() { m.serveConn(ctx, conn) })
+	}
+}
+
+func (m *Member) closeSessions() {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for s := range m.sessions {
+		_ = s.conn.Close()
+	}
+}
--- /dev/null
+++ b/internal/labdb/order.go
@@ -0,0 +1,123 @@
+package labdb
+
+import (
+	"context"
+	"regexp"
+	"strconv"
+	"strings"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	"github.com/vmihailenco/msgpack/v5"
+
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+var orderPattern = regexp.MustCompile(`(?i)^\s*select\s+poplar_([a-z]+)\((.*)\)\s*;?\s*$`)
+
+// command is a call of one of the stand-in's control functions.
+type command struct {
+	name string
+	args []string
+}
+
+// order reads a call of a control function, or returns nil.
+func order(text string) *command {
+	match := orderPattern.FindStringSubmatch(text)
+	if match == nil {
+		return nil
+	}
+	c := &command{name: strings.ToLower(match[1])}
+	if strings.TrimSpace(match[2]) == "" {
+		return c
+	}
+	// Term histories hold commas, so a cut is made only outside quotes.
+	for part := range strings.SplitSeq(match[2], ", ") {
+		c.args = append(c.args, strings.Trim(strings.TrimSpace(part), "'"))
+	}
+	return c
+}
+
+func (c *command) arg(i int) string {
+	if i < len(c.args) {
+		return c.args[i]
+	}
+	return ""
+}
+
+func (c *command) term() (group.Term, error) {
+	n, err := strconv.ParseUint(c.arg(0), 10, 64)
+	if err != nil {
+		return 0, &stateError{stateSyntax, "the first argument is no term: " + strconv.Quote(c.arg(0))}
+	}
+	return group.Term(n), nil
+}
+
+func (s *session) runOrder(ctx context.Context, c *command) error {
+	if c.name == "status" {
+		s.sendStatus()
+		return nil
+	}
+	term, err := c.term()
+	if err != nil {
+		return err
+	}
+	switch c.name {
+	case "fence":
+		err = s.member.order(func(r *replog) error { return r.promise(term, c.arg(1)) })
+	case "promote":
+		err = s.member.order(func(r *replog) error { return r.promote(term, c.arg(1)) })
+	case "follow":
+		err = s.follow(term, c)
+	case "log":
+		return s.sendLog(ctx, term, c)
+	default:
+		err = &stateError{stateSyntax, "no such function: poplar_" + c.name}
+	}
+	if err != nil {
+		return err
+	}
+	s.sendStatus()
+	return nil
+}
+
+func (s *session) follow(term group.Term, c *command) error {
+	starts, err := group.ParseStarts(c.arg(2))
+	if err != nil {
+		return err
+	}
+	return s.member.order(func(r *replog) error { return r.follow(term, c.arg(1), starts) })
+}
+
+// sendStatus answers one row that describes the member.
+func (s *session) sendStatus() {
+	state := s.member.State()
+	cells := []any{
+		state.Role.String(), int64(state.Term), int64(state.Fence), int64(state.EntryTerm),
+		int64(state.Received), int64(state.Applied), group.FormatStarts(state.Starts),
+	}
+	names := []string{"role", "term", "fence", "entry_term", "received", "applied", "starts"}
+	s.backend.Send(&pgproto3.RowDescription{Fields: describeCells(names, cells, nil)})
+	s.sendRow(cells, nil)
+	s.complete("SELECT 1")
+}
+
+func (s *session) sendLog(ctx context.Context, term group.Term, c *command) error {
+	after, err := strconv.Atoi(c.arg(1))
+	if err != nil || after < 0 {
+		return &stateError{stateSyntax, "the second argument is no position: " + strconv.Quote(c.arg(1))}
+	}
+	entries, err := s.member.tail(ctx, term, after)
+	if err != nil {
+		return err
+	}
+	s.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field("entry", oidBytea, 1)}})
+	for _, e := range entries {
+		raw, err := msgpack.Marshal(e)
+		if err != nil {
+			return err
+		}
+		s.backend.Send(&pgproto3.DataRow{Values: [][]byte{raw}})
+	}
+	s.complete(tag("SELECT", int64(len(entries))))
+	return nil
+}
--- /dev/null
+++ b/internal/labdb/run.go
@@ -0,0 +1,420 @@
+package labdb
+
+import (
+	"context"
+	"database/sql"
+	"encoding/binary"
+	"fmt"
+	"math"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Object identifiers of the PostgreSQL types that the stand-in answers with.
+const (
+	oidInt8   = 20
+	oidText   = 25
+	oidFloat8 = 701
+	oidBytea  = 17
+)
+
+type querier interface {
+	QueryContext(ctx context.Context, query string, args ...any) (*sql.Rows, error)
+	ExecContext(ctx context.Context, query string, args ...any) (sql.Result, error)
+}
+
+var (
+	_ querier = (*sql.DB)(nil)
+	_ querier = (*sql.Tx)(nil)
+)
+
+func (s *session) querier() querier {
+	if s.tx != nil {
+		return s.tx
+	}
+	return s.member.engine.db
+}
+
+func (s *session) simple(ctx context.Context, text string) {
+	statements := split(text)
+	if len(statements) == 0 {
+		s.backend.Send(&pgproto3.EmptyQueryResponse{})
+		return
+	}
+	for _, st := range statements {
+		if err := s.run(ctx, portal{text: st}, true); err != nil {
+			s.report(err)
+			return
+		}
+	}
+	s.endImplicit()
+}
+
+// split cuts a query string at semicolons outside quotes.
+func split(text string) []string {
+	var parts []string
+	quoted, from := false, 0
+	for i, r := range text {
+		if r == '\'' {
+			quoted = !quoted
+		}
+		if r == ';' && !quoted {
+			parts = append(parts, text[from:i])
+			from = i + 1
+		}
+	}
+	parts = append(parts, text[from:])
+	var list []string
+	for _, p := range parts {
+		if p = strings.TrimSpace(p); p != "" {
+			list = append(list, p)
+		}
+	}
+	return list
+}
+
+func firstWord(text string) string {
+	fields := strings.Fields(text)
+	if len(fields) == 0 {
+		return ""
+	}
+	return strings.ToUpper(strings.TrimRight(fields[0], ";"))
+}
+
+func writes(text string) bool {
+	switch firstWord(text) {
+	case "SELECT", "WITH", "VALUES", "EXPLAIN", "SHOW", "SET", "RESET", "DISCARD", "BEGIN", "START", "COMMIT", "END", "ROLLBACK", "DEALLOCATE":
+		return false
+	default:
+		return true
+	}
+}
+
+// run executes one statement. Row descriptions are sent with simple queries.
+func (s *session) run(ctx context.Context, p portal, described bool) error {
+	if control := order(p.text); control != nil {
+		return s.runOrder(ctx, control)
+	}
+	word := firstWord(p.text)
+	if s.failed && word != "ROLLBACK" && word != "COMMIT" && word != "END" {
+		return &stateError{stateFailedTx, "current transaction is aborted, commands ignored until end of transaction block"}
+	}
+	switch word {
+	case "BEGIN", "START":
+		return s.begin(ctx)
+	case "COMMIT", "END":
+		return s.commit()
+	case "ROLLBACK":
+		s.rollback()
+		s.complete("ROLLBACK")
+		return nil
+	case "SET", "RESET", "DISCARD", "DEALLOCATE":
+		s.complete(word)
+		return nil
+	}
+	return s.runSlot(ctx, p, described)
+}
+
+func (s *session) complete(tag string) {
+	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
+}
+
+func (s *session) begin(ctx context.Context) error {
+	if err := s.open(ctx); err != nil {
+		return err
+	}
+	s.explicit = true
+	s.complete("BEGIN")
+	return nil
+}
+
+func (s *session) commit() error {
+	if s.failed || s.tx == nil {
+		s.rollback()
+		s.complete("ROLLBACK")
+		return nil
+	}
+	tx, written := s.tx, s.written
+	s.tx, s.explicit = nil, false
+	err := s.member.commit(tx, written)
+	s.rollback()
+	if err != nil {
+		return err
+	}
+	s.complete("COMMIT")
+	return nil
+}
+
+// open starts an engine transaction, if none is open. Transactions that may
+// write run one at a time.
+func (s *session) open(ctx context.Context) error {
+	if s.tx != nil {
+		return nil
+	}
+	if !s.readOnly && !s.locked {
+		select {
+		case s.member.writer <- struct{}{}:
+			s.locked = true
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		s.member.caughtUp(ctx)
+	}
+	tx, err := s.member.engine.db.BeginTx(context.WithoutCancel(ctx), nil)
+	if err != nil {
+		s.unlock()
+		return err
+	}
+	s.tx = tx
+	return nil
+}
+
+func (s *session) unlock() {
+	if s.locked {
+		s.locked = false
+		<-s.member.writer
+	}
+}
+
+func (s *session) rollback() {
+	if s.tx != nil {
+		_ = s.tx.Rollback()
+	}
+	s.tx, s.explicit, s.failed, s.written = nil, false, false, nil
+	s.unlock()
+}
+
+// endImplicit commits the transaction that a statement outside a transaction
+// block opened.
+func (s *session) endImplicit() {
+	if s.tx == nil || s.explicit {
+		return
+	}
+	tx, written := s.tx, s.written
+	s.tx = nil
+	err := s.member.commit(tx, written)
+	s.rollback()
+	if err != nil {
+		s.report(err)
+	}
+}
+
+// runSlot waits for a slot and runs a statement in it.
+func (s *session) runSlot(ctx context.Context, p portal, described bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.setCancel(cancel)
+	defer s.setCancel(nil)
+	if err := s.open(ctx); err != nil {
+		return err
+	}
+	select {
+	case s.member.slots <- struct{}{}:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	defer func() { <-s.member.slots }()
+	sleep(ctx, s.member.options.ServiceTime+sleepTime(p.text))
+	if ctx.Err() != nil {
+		return ctx.Err()
+	}
+	switch {
+	case sleepTime(p.text) > 0:
+		return s.slept(described)
+	case !writes(p.text):
+		return s.query(ctx, p, described, "SELECT")
+	default:
+		return s.write(ctx, p, described)
+	}
+}
+
+func (s *session) setCancel(cancel context.CancelFunc) {
+	s.member.mu.Lock()
+	defer s.member.mu.Unlock()
+	s.cancel = cancel
+}
+
+func (s *session) slept(described bool) error {
+	if described {
+		s.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field("pg_sleep", oidText, 0)}})
+	}
+	s.backend.Send(&pgproto3.DataRow{Values: [][]byte{{}}})
+	s.complete("SELECT 1")
+	return nil
+}
+
+func (s *session) write(ctx context.Context, p portal, described bool) error {
+	if s.readOnly {
+		return &stateError{stateReadOnly, "cannot write in a read-only transaction"}
+	}
+	if err := s.member.writable(); err != nil {
+		return err
+	}
+	s.written = append(s.written, Statement{SQL: p.text, Args: p.args})
+	if strings.Contains(strings.ToUpper(p.text), "RETURNING") {
+		return s.query(ctx, p, described, tagWord(p.text))
+	}
+	result, err := s.tx.ExecContext(ctx, placeholders(p.text), values(p.args)...)
+	if err != nil {
+		return err
+	}
+	count, _ := result.RowsAffected()
+	s.complete(tag(tagWord(p.text), count))
+	return nil
+}
+
+func (m *Member) writable() error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.log.writable()
+}
+
+func tagWord(text string) string {
+	word := firstWord(text)
+	if word == "CREATE" || word == "DROP" || word == "ALTER" {
+		return word + " TABLE"
+	}
+	return word
+}
+
+func tag(word string, count int64) string {
+	switch word {
+	case "INSERT":
+		return fmt.Sprintf("INSERT 0 %d", count)
+	case "UPDATE", "DELETE", "SELECT":
+		return fmt.Sprintf("%s %d", word, count)
+	default:
+		return word
+	}
+}
+
+func (s *session) query(ctx context.Context, p portal, described bool, word string) error {
+	rows, err := s.tx.QueryContext(ctx, placeholders(p.text), values(p.args)...)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = rows.Close() }()
+	names, err := rows.Columns()
+	if err != nil {
+		return err
+	}
+	cells := make([]any, len(names))
+	pointers := make([]any, len(names))
+	for i := range cells {
+		pointers[i] = &cells[i]
+	}
+	count := int64(0)
+	for rows.Next() {
+		if err := rows.Scan(pointers...); err != nil {
+			return err
+		}
+		if count == 0 && described {
+			s.backend.Send(&pgproto3.RowDescription{Fields: describeCells(names, cells, p.formats)})
+		}
+		count++
+		s.sendRow(cells, p.formats)
+		if count%rowsPerFlush == 0 {
+			_ = s.backend.Flush()
+		}
+	}
+	if count == 0 && described {
+		s.backend.Send(&pgproto3.RowDescription{Fields: describeCells(names, cells, p.formats)})
+	}
+	if err := rows.Err(); err != nil {
+		return err
+	}
+	s.complete(tag(word, count))
+	return nil
+}
+
+const rowsPerFlush = 64
+
+func (s *session) sendRow(cells []any, formats []int16) {
+	row := make([][]byte, len(cells))
+	for i, cell := range cells {
+		row[i] = encode(cell, formatAt(formats, i))
+	}
+	s.backend.Send(&pgproto3.DataRow{Values: row})
+}
+
+func encode(cell any, format int16) []byte {
+	switch v := cell.(type) {
+	case nil:
+		return nil
+	case int64:
+		if format == 1 {
+			return binary.BigEndian.AppendUint64(nil, uint64(v))
+		}
+		return strconv.AppendInt(nil, v, 10)
+	case float64:
+		if format == 1 {
+			return binary.BigEndian.AppendUint64(nil, math.Float64bits(v))
+		}
+		return strconv.AppendFloat(nil, v, 'g', -1, 64)
+	case []byte:
+		return append([]byte{}, v...)
+	case time.Time:
+		return []byte(v.Format(time.RFC3339Nano))
+	default:
+		return fmt.Append(nil, v)
+	}
+}
+
+func oidOf(cell any) uint32 {
+	switch cell.(type) {
+	case int64:
+		return oidInt8
+	case float64:
+		return oidFloat8
+	case []byte:
+		return oidBytea
+	default:
+		return oidText
+	}
+}
+
+func field(name string, oid uint32, format int16) pgproto3.FieldDescription {
+	return pgproto3.FieldDescription{Name: []byte(name), DataTypeOID: oid, DataTypeSize: -1, TypeModifier: -1, Format: format}
+}
+
+func describeCells(names []string, cells []any, formats []int16) []pgproto3.FieldDescription {
+	fields := make([]pgproto3.FieldDescription, len(names))
+	for i, name := range names {
+		fields[i] = field(name, oidOf(cells[i]), formatAt(formats, i))
+	}
+	return fields
+}
+
+// fieldsOf describes the columns of a query that was tried out: by the declared
+// types where there are any, else by the first row.
+func fieldsOf(rows *sql.Rows, formats []int16) ([]pgproto3.FieldDescription, error) {
+	types, err := rows.ColumnTypes()
+	if err != nil {
+		return nil, err
+	}
+	names := make([]string, len(types))
+	cells := make([]any, len(types))
+	pointers := make([]any, len(types))
+	for i := range cells {
+		names[i], pointers[i] = types[i].Name(), &cells[i]
+	}
+	if rows.Next() {
+		if err := rows.Scan(pointers...); err != nil {
+			return nil, err
+		}
+	}
+	for i, t := range types {
+		switch strings.ToUpper(t.DatabaseTypeName()) {
+		case "INTEGER", "INT", "BIGINT":
+			cells[i] = int64(0)
+		case "REAL", "DOUBLE":
+			cells[i] = float64(0)
+		case "TEXT":
+			cells[i] = ""
+		}
+	}
+	return describeCells(names, cells, formats), rows.Err()
+}
--- /dev/null
+++ b/internal/labset/labset.go
@@ -0,0 +1,306 @@
+// Package labset runs a whole set of stand-ins and proxies in one process, for
+// demonstrations and tests: a store, one database of several members, and
+// several proxies.
+package labset
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/app"
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/config"
+	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/labdb"
+	"poplarrouter.example/poplarrouter/internal/labkv"
+	"poplarrouter.example/poplarrouter/internal/view"
+)
+
+// What the set's sheet allows.
+const (
+	Service  = "restock"
+	Database = "stock"
+	Caller   = "vendor"
+	Password = "pretzel"
+)
+
+// Secret authenticates the set's proxies and operators.
+const Secret = "a secret of the stand-ins"
+
+// Options describe a set.
+type Options struct {
+	Members int
+	Proxies int
+	// Log receives the logs of all proxies.
+	Log io.Writer
+	// Member holds the options of each member but its addresses.
+	Member labdb.Options
+	// Settings changes the settings of each proxy, if it is not nil.
+	Settings func(*config.Settings)
+}
+
+// Proxy is a proxy of the set.
+type Proxy struct {
+	*app.Proxy
+	Settings config.Settings
+	stop     func()
+}
+
+// Stop ends the proxy at once.
+func (p *Proxy) Stop() { p.stop() }
+
+// Set is a running set.
+type Set struct {
+	options  Options
+	store    *labkv.Memory
+	address  string
+	members  []*labdb.Member
+	stops    []func()
+	proxies  []*Proxy
+	cleanUps []func()
+}
+
+// New starts a set and returns it with its clean-up function.
+func New(options Options) (*Set, func(), error) {
+	s := &Set{options: options, store: labkv.New()}
+	for _, step := range []func() error{s.startStore, s.startMembers, s.putDocs, s.startProxies} {
+		if err := step(); err != nil {
+			s.close()
+			return nil, nil, err
+		}
+	}
+	return s, s.close, nil
+}
+
+func (s *Set) close() {
+	for i := len(s.cleanUps) - 1; i >= 0; i-- {
+		s.cleanUps[i]()
+	}
+}
+
+// Store returns the store, to be put down or slowed.
+func (s *Set) Store() *labkv.Memory { return s.store }
+
+// StoreAddress returns the store's IP and port.
+func (s *Set) StoreAddress() string { return s.address }
+
+// Members returns the members; the first began as the primary.
+func (s *Set) Members() []*labdb.Member { return s.members }
+
+// Proxies returns the proxies.
+func (s *Set) Proxies() []*Proxy { return s.proxies }
+
+// StopMember ends a member at once.
+func (s *Set) StopMember(i int) { s.stops[i]() }
+
+// URL returns the PostgreSQL URL of a proxy for the sheet's caller.
+func (s *Set) URL(proxy int) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, s.proxies[proxy].Address(), Service)
+}
+
+const headerTimeout = 5 * time.Second
+
+func (s *Set) startStore() error {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: s.store, ReadHeaderTimeout: headerTimeout}
+	ended := make(chan error, 1)
+	go func() { ended <- server.Serve(listener) }()
+	s.address = listener.Addr().String()
+	s.cleanUps = append(s.cleanUps, func() {
+		_ = server.Close()
+		<-ended
+	})
+	return nil
+}
+
+func (s *Set) startMembers() error {
+	for i := range s.options.Members {
+		o := s.options.Member
+		o.Address = "127.0.0.1:0"
+		if o.Slots == 0 {
+			o.Slots = 5
+		}
+		if i > 0 {
+			o.Leader = s.members[0].Address()
+		}
+		m, cleanUp, err := labdb.New(o)
+		if err != nil {
+			return err
+		}
+		stopped := false
+		stop := func() {
+			if !stopped {
+				stopped = true
+				cleanUp()
+			}
+		}
+		s.members = append(s.members, m)
+		s.stops = append(s.stops, stop)
+		s.cleanUps = append(s.cleanUps, stop)
+	}
+	return nil
+}
+
+// DatabasesDoc returns the document that lists the set's database.
+func (s *Set) DatabasesDoc(serial uint64) book.DatabasesDoc {
+	d := book.Database{Name: Database, Slots: 5, Connections: 60}
+	for i, m := range s.members {
+		d.Members = append(d.Members, view.Member{
+			Name: fmt.Sprintf("member-%d", i+1), Address: m.Address(), DataCentre: "dc-1", Region: "region-1",
+		})
+	}
+	return book.DatabasesDoc{Serial: serial, Databases: []book.Database{d}}
+}
+
+// Sheet returns the set's sheet.
+func Sheet() (string, error) {
+	verifier, err := front.Verifier(Password, "salt of the stand-in", 4096)
+	if err != nil {
+		return "", err
+	}
+	row := fmt.Sprintf("%s,%s,%s,%s,", Service, Database, Caller, verifier)
+	return "Service,Database,Caller,Secret,Kind,Access,Idempotent,Rank,DeadlineMs,Worth,AcceptedAgeMs\n" +
+		row + "order,write,no,1,10000,10,0\n" +
+		row + "stock,read,yes,2,10000,5,0\n" +
+		row + "count,read,yes,3,10000,1,60000\n", nil
+}
+
+func (s *Set) putDocs() error {
+	ctx := context.Background()
+	csv, err := Sheet()
+	if err != nil {
+		return err
+	}
+	if _, err := book.Load(ctx, s.store, "labset", csv, time.Now()); err != nil {
+		return err
+	}
+	return s.Put(book.Databases, s.DatabasesDoc(1))
+}
+
+// Put writes a document into the store, over the one that is there.
+func (s *Set) Put(kind book.Kind, body any) error {
+	ctx := context.Background()
+	raw, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	old, _ := s.store.Get(ctx, string(kind))
+	_, err = s.store.Put(ctx, string(kind), raw, old.Version)
+	return err
+}
+
+// freeAddress returns an address on which nothing listens.
+func freeAddress() (string, error) {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String(), nil
+}
+
+func (s *Set) settings(i int) (config.Settings, error) {
+	c := config.Default()
+	c.Place = config.Place{Host: fmt.Sprintf("host-%d", i+1), DataCentre: "dc-1", Region: "region-1"}
+	c.CallerAddress = "127.0.0.1:0"
+	c.StoreAddress = s.address
+	c.PeerSecret, c.OperatorSecret = Secret, Secret
+	var err error
+	if c.PeerAddress, err = freeAddress(); err != nil {
+		return c, err
+	}
+	if c.OperatorAddress, err = freeAddress(); err != nil {
+		return c, err
+	}
+	if s.options.Settings != nil {
+		s.options.Settings(&c)
+	}
+	return c, nil
+}
+
+func (s *Set) startProxies() error {
+	all := make([]config.Settings, s.options.Proxies)
+	hosts := book.HostsDoc{Serial: 1}
+	for i := range all {
+		var err error
+		if all[i], err = s.settings(i); err != nil {
+			return err
+		}
+		hosts.Hosts = append(hosts.Hosts, book.Host{
+			Name: all[i].Host, DataCentre: all[i].DataCentre, Region: all[i].Region, PeerAddress: all[i].PeerAddress,
+		})
+	}
+	if err := s.Put(book.Hosts, hosts); err != nil {
+		return err
+	}
+	for _, settings := range all {
+		if err := s.startProxy(settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Set) startProxy(settings config.Settings) error {
+	proxy, cleanUp, err := app.New(settings, s.options.Log)
+	if err != nil {
+		return err
+	}
+	stopped := false
+	stop := func() {
+		if !stopped {
+			stopped = true
+			cleanUp()
+		}
+	}
+	s.proxies = append(s.proxies, &Proxy{Proxy: proxy, Settings: settings, stop: stop})
+	s.cleanUps = append(s.cleanUps, stop)
+	return nil
+}
+
+// NotReadyError reports a set whose proxies did not become ready in time.
+type NotReadyError struct{ Waited time.Duration }
+
+// Error implements error.
+func (e *NotReadyError) Error() string {
+	return fmt.Sprintf("start set: not ready within %s", e.Waited)
+}
+
+const readyLook = 20 * time.Millisecond
+
+// AwaitReady waits until every proxy is ready for callers.
+func (s *Set) AwaitReady(ctx context.Context, limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	for _, p := range s.proxies {
+		for !ready(ctx, p.Settings.OperatorAddress) {
+			select {
+			case <-time.After(readyLook):
+			case <-ctx.Done():
+				return &NotReadyError{Waited: limit}
+			}
+		}
+	}
+	return nil
+}
+
+func ready(ctx context.Context, address string) bool {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+app.PathReady, http.NoBody)
+	if err != nil {
+		return false
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/member/control.go
@@ -0,0 +1,167 @@
+package member
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// StatusQuery asks a member for its state. Its one row has the columns role,
+// term, fence, entry_term, received, applied and starts, in text form.
+const StatusQuery = "SELECT poplar_status()"
+
+const statusColumns = 7
+
+// Control is what the proxy asks and orders of one member.
+type Control interface {
+	// Ask returns the member's state.
+	Ask(ctx context.Context) (group.State, error)
+	// Fence makes the member promise a term to a promoter. It returns
+	// *RefusedError if the member has promised otherwise. It is idempotent.
+	Fence(ctx context.Context, term group.Term, promoter string) (group.State, error)
+	// Promote makes the member the primary of a term that it promised to the
+	// promoter. It returns *RefusedError if it has not. It is idempotent.
+	Promote(ctx context.Context, term group.Term, promoter string) (group.State, error)
+	// Follow makes the member a replica of the primary of a term. It returns
+	// *RefusedError if the member has promised a later term. It is idempotent.
+	Follow(ctx context.Context, term group.Term, leader string, starts []group.Start) (group.State, error)
+	// Close ends the connection, if one is open.
+	Close()
+}
+
+// RefusedError reports an order that the member's promises forbid.
+type RefusedError struct {
+	Member string
+	Text   string
+}
+
+// Error implements error.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("order to %s: refused: %s", e.Member, e.Text)
+}
+
+// StatusError reports an answer that does not describe a member's state.
+type StatusError struct {
+	Got  string
+	Want string
+}
+
+// Error implements error.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("read member state: got %s, want %s", e.Got, e.Want)
+}
+
+// Link is a Control over one connection, opened when it is needed and closed
+// after any failure. It is not for concurrent use.
+type Link struct {
+	address string
+	login   Login
+	conn    *pgconn.PgConn
+}
+
+var _ Control = (*Link)(nil)
+
+// NewLink returns a link to the member at address (IP:port).
+func NewLink(address string, login Login) *Link {
+	return &Link{address: address, login: login}
+}
+
+// Ask implements Control.
+func (l *Link) Ask(ctx context.Context) (group.State, error) {
+	return l.query(ctx, StatusQuery)
+}
+
+// Fence implements Control.
+func (l *Link) Fence(ctx context.Context, term group.Term, promoter string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_fence(%d, '%s')", term, promoter))
+}
+
+// Promote implements Control.
+func (l *Link) Promote(ctx context.Context, term group.Term, promoter string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_promote(%d, '%s')", term, promoter))
+}
+
+// Follow implements Control.
+func (l *Link) Follow(ctx context.Context, term group.Term, leader string, starts []group.Start) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_follow(%d, '%s', '%s')", term, leader, group.FormatStarts(starts)))
+}
+
+// Close implements Control.
+func (l *Link) Close() {
+	if l.conn != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = l.conn.Close(ctx)
+		l.conn = nil
+	}
+}
+
+func (l *Link) query(ctx context.Context, text string) (group.State, error) {
+	if err := l.connect(ctx); err != nil {
+		return group.State{}, err
+	}
+	results, err := l.conn.Exec(ctx, text).ReadAll()
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) {
+		return group.State{}, &RefusedError{Member: l.address, Text: refusal.Message}
+	}
+	if err != nil {
+		l.Close()
+		return group.State{}, err
+	}
+	if len(results) != 1 || len(results[0].Rows) != 1 {
+		return group.State{}, &StatusError{Got: "no row", Want: "one row"}
+	}
+	return ParseState(results[0].Rows[0])
+}
+
+func (l *Link) connect(ctx context.Context) error {
+	if l.conn != nil && !l.conn.IsClosed() {
+		return nil
+	}
+	config, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", l.address))
+	if err != nil {
+		return err
+	}
+	config.User, config.Password, config.Database = l.login.User, l.login.Password, l.login.Database
+	config.Fallbacks = nil
+	l.conn, err = pgconn.ConnectConfig(ctx, config)
+	return err
+}
+
+// ParseState reads the row that StatusQuery answers.
+func ParseState(row [][]byte) (group.State, error) {
+	if len(row) != statusColumns {
+		return group.State{}, &StatusError{Got: fmt.Sprintf("%d columns", len(row)), Want: fmt.Sprint(statusColumns)}
+	}
+	var s group.State
+	switch string(row[0]) {
+	case "primary":
+		s.Role = group.Primary
+	case "replica":
+		s.Role = group.Replica
+	default:
+		return group.State{}, &StatusError{Got: strconv.Quote(string(row[0])), Want: "primary or replica"}
+	}
+	var numbers [5]uint64
+	for i := range numbers {
+		n, err := strconv.ParseUint(string(row[i+1]), 10, 64)
+		if err != nil {
+			return group.State{}, &StatusError{Got: strconv.Quote(string(row[i+1])), Want: "a number"}
+		}
+		numbers[i] = n
+	}
+	s.Term, s.Fence, s.EntryTerm = group.Term(numbers[0]), group.Term(numbers[1]), group.Term(numbers[2])
+	s.Received, s.Applied = group.Position(numbers[3]), group.Position(numbers[4])
+	starts, err := group.ParseStarts(string(row[statusColumns-1]))
+	if err != nil {
+		return group.State{}, err
+	}
+	s.Starts = starts
+	return s, nil
+}
--- /dev/null
+++ b/internal/member/member.go
@@ -0,0 +1,129 @@
+// Package member reaches the members of a database over the PostgreSQL
+// protocol: a control connection to each for its state and for orders, and
+// pooled connections for callers' work.
+//
+// A pooled connection is in one of three states: idle in its pool, lent to one
+// request or transaction, or closed. It returns to the pool only outside a
+// transaction and with no answer outstanding; a connection in doubt is closed.
+package member
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// Login is how the proxy logs in at members.
+type Login struct {
+	User     string
+	Password string
+	// Database is the name that members know the database by.
+	Database string
+}
+
+// Mode tells what a pooled connection may be used for.
+type Mode uint8
+
+// The modes of a pooled connection.
+const (
+	// ReadWrite connections run anything.
+	ReadWrite Mode = iota
+	// ReadOnly connections have every transaction read-only by default, so that
+	// work labelled as a read cannot write.
+	ReadOnly
+)
+
+// Conn is a logged-in connection to a member.
+type Conn struct {
+	*pgproto3.Frontend
+	net.Conn
+	// ProcessID and SecretKey allow a cancel request for this connection.
+	ProcessID uint32
+	SecretKey []byte
+	// Prepared holds the names of the statements prepared on this connection.
+	Prepared map[string]struct{}
+
+	address string
+	idled   time.Time
+	doubt   bool
+}
+
+// Dial opens a connection. The context bounds the whole of it.
+func Dial(ctx context.Context, address string, login Login, mode Mode) (*Conn, error) {
+	config, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", address))
+	if err != nil {
+		return nil, err
+	}
+	config.User, config.Password, config.Database = login.User, login.Password, login.Database
+	config.Fallbacks = nil
+	if mode == ReadOnly {
+		config.RuntimeParams["options"] = "-c default_transaction_read_only=on"
+	}
+	raw, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	h, err := raw.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	if err := h.Conn.SetDeadline(time.Time{}); err != nil {
+		_ = h.Conn.Close()
+		return nil, err
+	}
+	return &Conn{
+		Frontend:  h.Frontend,
+		Conn:      h.Conn,
+		ProcessID: h.PID,
+		SecretKey: h.SecretKey,
+		Prepared:  make(map[string]struct{}),
+		address:   address,
+	}, nil
+}
+
+// Doubt marks the connection as one that must not be reused: it is closed when
+// it returns to its pool.
+func (c *Conn) Doubt() { c.doubt = true }
+
+// Cancel asks the member to cancel what the connection runs, and waits until
+// the member has taken the request. The caller marks the connection as in doubt
+// before, since the cancel may arrive late.
+func (c *Conn) Cancel(ctx context.Context) error {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if deadline, set := ctx.Deadline(); set {
+		_ = conn.SetDeadline(deadline)
+	}
+	f := pgproto3.NewFrontend(conn, conn)
+	f.Send(&pgproto3.CancelRequest{ProcessID: c.ProcessID, SecretKey: c.SecretKey})
+	if err := f.Flush(); err != nil {
+		return err
+	}
+	_, _ = conn.Read(make([]byte, 1))
+	return nil
+}
+
+// trip sends a Sync and waits for its answer.
+func (c *Conn) trip() error {
+	c.Send(&pgproto3.Sync{})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		message, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		if _, ready := message.(*pgproto3.ReadyForQuery); ready {
+			return nil
+		}
+	}
+}
--- /dev/null
+++ b/internal/peer/frame.go
@@ -0,0 +1,116 @@
+// Package peer joins the proxies to one another: heartbeats that carry the
+// serials of documents, the documents themselves, questions about a suspected
+// primary with their answers, and cancel requests that reached another proxy.
+//
+// Proxies talk over TCP. A frame is a length of four bytes, most significant
+// first, and a msgpack map with Pascal-case keys. Each connection carries frames
+// one way, from the proxy that opened it. It begins with a challenge: the
+// accepting side sends a random nonce, and the opening side answers with its
+// name and an HMAC-SHA256 of nonce and name under the shared secret.
+package peer
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+
+	"github.com/vmihailenco/msgpack/v5"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// MaxFrame is the size in bytes of the largest frame: a document of the size
+// that the store holds, and its envelope.
+const MaxFrame = 1<<20 + 1<<12
+
+// maxGreeting is the size in bytes of the largest frame before the peer has
+// proven who it is.
+const maxGreeting = 1 << 10
+
+// Frame is one message. Exactly one field is set.
+type Frame struct {
+	Hello     *Hello     `msgpack:",omitempty"`
+	Beat      *Beat      `msgpack:",omitempty"`
+	Doc       *book.Doc  `msgpack:",omitempty"`
+	Ask       *Ask       `msgpack:",omitempty"`
+	Vote      *VoteFrame `msgpack:",omitempty"`
+	Cancel    *Cancel    `msgpack:",omitempty"`
+	Challenge []byte     `msgpack:",omitempty"`
+}
+
+// Hello answers the challenge.
+type Hello struct {
+	Host  string
+	Proof []byte
+}
+
+// Beat is a heartbeat.
+type Beat struct {
+	Serials map[book.Kind]uint64
+}
+
+// Ask asks whether the primary of a term has been silent.
+type Ask struct {
+	Database string
+	Term     group.Term
+}
+
+// VoteFrame is a vote with the name of the database it is about.
+type VoteFrame struct {
+	Database string
+	Vote     elect.Vote
+}
+
+// Cancel passes on a caller's cancel request.
+type Cancel struct {
+	ProcessID uint32
+	SecretKey []byte
+}
+
+// FrameError reports a frame that breaks the protocol.
+type FrameError struct {
+	Got  string
+	Want string
+}
+
+// Error implements error.
+func (e *FrameError) Error() string { return fmt.Sprintf("peer frame: got %s, want %s", e.Got, e.Want) }
+
+const lengthBytes = 4
+
+// Encode returns the frame as it goes over the wire.
+func Encode(f Frame) ([]byte, error) {
+	body, err := msgpack.Marshal(f)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > MaxFrame {
+		return nil, &FrameError{Got: fmt.Sprintf("%d bytes", len(body)), Want: fmt.Sprintf("at most %d", MaxFrame)}
+	}
+	size := uint32(len(body)) //nolint:gosec // the length was checked against MaxFrame
+	raw := binary.BigEndian.AppendUint32(make([]byte, 0, lengthBytes+len(body)), size)
+	return append(raw, body...), nil
+}
+
+// Decode reads one frame of at most limit bytes.
+func Decode(r io.Reader, limit uint32) (Frame, error) {
+	var head [lengthBytes]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return Frame{}, err
+	}
+	size := binary.BigEndian.Uint32(head[:])
+	if size == 0 || size > limit {
+		return Frame{}, &FrameError{Got: fmt.Sprintf("%d bytes", size), Want: fmt.Sprintf("1 to %d", limit)}
+	}
+	body := make([]byte, size)
+	if _, err := io.ReadFull(r, body); err != nil {
+		return Frame{}, err
+	}
+	var f Frame
+	if err := msgpack.Unmarshal(body, &f); err != nil {
+		return Frame{}, &FrameError{Got: err.Error(), Want: "a msgpack map"}
+	}
+	return f, nil
+}
--- /dev/null
+++ b/internal/store/http.go
@@ -0,0 +1,117 @@
+package store
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+)
+
+// MaxValue is the largest value in bytes that the store holds.
+const MaxValue = 1 << 20
+
+// Path is the part of the URL before an object's key.
+const Path = "/objects/"
+
+// The query parameters of a watch.
+const (
+	ParamSeen = "Seen"
+	ParamWait = "WaitMs"
+)
+
+// HTTP is the client of a store that speaks HTTP with ETag and If-Match.
+type HTTP struct {
+	address string
+	wait    time.Duration
+	client  *http.Client
+}
+
+var _ Store = (*HTTP)(nil)
+
+// New returns a client of the store at address (IP:port) whose watches wait for
+// the given time, and its clean-up function.
+func New(address string, wait time.Duration) (*HTTP, func()) {
+	transport := &http.Transport{MaxIdleConnsPerHost: 4}
+	h := &HTTP{address: address, wait: wait, client: &http.Client{Transport: transport}}
+	return h, transport.CloseIdleConnections
+}
+
+// Get implements Store.
+func (h *HTTP) Get(ctx context.Context, key string) (Object, error) {
+	return h.read(ctx, "get", key, nil)
+}
+
+// Watch implements Store.
+func (h *HTTP) Watch(ctx context.Context, key string, seen Version) (Object, error) {
+	query := url.Values{}
+	query.Set(ParamSeen, string(seen))
+	query.Set(ParamWait, strconv.FormatInt(h.wait.Milliseconds(), 10))
+	return h.read(ctx, "watch", key, query)
+}
+
+// Put implements Store.
+func (h *HTTP) Put(ctx context.Context, key string, value []byte, was Version) (Version, error) {
+	if len(value) > MaxValue {
+		return "", &SizeError{Key: key, Got: len(value), Most: MaxValue}
+	}
+	request, err := http.NewRequestWithContext(ctx, http.MethodPut, h.url(key, nil), bytes.NewReader(value))
+	if err != nil {
+		return "", err
+	}
+	if was == "" {
+		request.Header.Set("If-None-Match", "*")
+	} else {
+		request.Header.Set("If-Match", string(was))
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK, http.StatusCreated, http.StatusNoContent:
+		return Version(response.Header.Get("ETag")), nil
+	case http.StatusPreconditionFailed:
+		return "", &ConflictError{Key: key, Want: was}
+	default:
+		return "", &StatusError{Op: "put", Key: key, Status: response.StatusCode}
+	}
+}
+
+func (h *HTTP) read(ctx context.Context, op, key string, query url.Values) (Object, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url(key, query), http.NoBody)
+	if err != nil {
+		return Object{}, err
+	}
+	response, err := h.client.Do(request)
+	if err != nil {
+		return Object{}, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	switch response.StatusCode {
+	case http.StatusOK:
+		return readObject(response)
+	case http.StatusNotFound:
+		return Object{}, &MissingError{Key: key}
+	case http.StatusNotModified:
+		return Object{}, &UnchangedError{Key: key}
+	default:
+		return Object{}, &StatusError{Op: op, Key: key, Status: response.StatusCode}
+	}
+}
+
+func readObject(response *http.Response) (Object, error) {
+	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValue))
+	if err != nil {
+		return Object{}, err
+	}
+	return Object{Version: Version(response.Header.Get("ETag")), Value: value}, nil
+}
+
+func (h *HTTP) url(key string, query url.Values) string {
+	u := url.URL{Scheme: "http", Host: h.address, Path: Path + key, RawQuery: query.Encode()}
+	return u.String()
+}
--- /dev/null
+++ b/internal/wire/writer.go
@@ -0,0 +1,95 @@
+package wire
+
+import (
+	"bytes"
+	"net"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+)
+
+// flushBytes is how much a Writer gathers before it writes.
+const flushBytes = 16 << 10
+
+// Writer gathers messages for a caller. Its errors are kept: after one, nothing
+// more is written, and Flush returns it.
+type Writer struct {
+	conn    net.Conn
+	buffer  []byte
+	holding bool
+	mark    int
+	sent    bool
+	err     error
+}
+
+// NewWriter returns a writer to a caller's connection.
+func NewWriter(conn net.Conn) *Writer { return &Writer{conn: conn} }
+
+// Put adds a message. It may write out messages added earlier, but none that
+// are held back.
+func (w *Writer) Put(message pgproto3.BackendMessage) {
+	if w.err != nil {
+		return
+	}
+	w.buffer, w.err = message.Encode(w.buffer)
+	if !w.holding && len(w.buffer) >= flushBytes {
+		_ = w.Flush()
+	}
+}
+
+// PutFirst adds a message before those that are held back.
+func (w *Writer) PutFirst(message pgproto3.BackendMessage) {
+	if !w.holding || w.err != nil {
+		w.Put(message)
+		return
+	}
+	held := bytes.Clone(w.buffer[w.mark:])
+	w.buffer, w.err = message.Encode(w.buffer[:w.mark])
+	w.mark = len(w.buffer)
+	w.buffer = append(w.buffer, held...)
+}
+
+// Hold holds back all messages added from now on.
+func (w *Writer) Hold() {
+	if !w.holding {
+		w.holding, w.mark = true, len(w.buffer)
+	}
+}
+
+// Held returns how many bytes are held back.
+func (w *Writer) Held() int {
+	if !w.holding {
+		return 0
+	}
+	return len(w.buffer) - w.mark
+}
+
+// Drop forgets the messages that are held back.
+func (w *Writer) Drop() {
+	if w.holding {
+		w.buffer, w.holding = w.buffer[:w.mark], false
+	}
+}
+
+// Sent tells whether any byte was written since the last call of Begin.
+func (w *Writer) Sent() bool { return w.sent }
+
+// Begin marks the start of an answer.
+func (w *Writer) Begin() { w.sent = false }
+
+// Discard forgets what has not been written.
+func (w *Writer) Discard() { w.buffer, w.holding = w.buffer[:0], false }
+
+// Flush writes everything out, held back or not.
+func (w *Writer) Flush() error {
+	if w.err != nil || len(w.buffer) == 0 {
+		w.holding = false
+		return w.err
+	}
+	_, w.err = w.conn.Write(w.buffer)
+	w.sent, w.holding = true, false
+	w.buffer = w.buffer[:0]
+	if cap(w.buffer) > 4*flushBytes {
+		w.buffer = nil
+	}
+	return w.err
+}
