Failover: a claim that the members do not show yet counts as another's attempt

Ruled out: votes (they were right when given), late fences of the first promoter (the log shows the second claim won before its watcher saw term 2). Change: a claim in the store beyond the members' terms, seen for the first time, is a conflict; the watcher rests one attempt and then claims past it. Members are asked at most once a millisecond while requests wait. Conclusion: the store's claim keeps watchers apart; safety still rests on the members' promises.

--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -58,7 +58,7 @@
 	done := duty.Start(context.Background(), func(context.Context) error { return server.Serve(listener) })
 	onStop(lc, func() {
 		_ = server.Close()
-		_ = <-done
+		<-done
 	})
 	return o, nil
 }
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -54,6 +54,8 @@
 	pollers  map[string]poller
 	primary  string
 	orders   duty.Group
+	// seenClaim is the attempt of the last claim that was read from the store.
+	seenClaim atomic.Pointer[string]
 }
 
 // input is what the stepping duty is told: a change of the view, an event for
@@ -73,6 +75,9 @@
 const (
 	inputRing  = 1024
 	stepPeriod = 50 * time.Millisecond
+	// askSpacing is the pause between questions to a member while requests wait
+	// for its answers.
+	askSpacing = time.Millisecond
 )
 
 // NewBase starts the watch over a database, and returns it with its clean-up
@@ -113,7 +118,7 @@
 }
 
 // Await returns the first view for which ready returns true. While anyone
-// waits, the members are asked without pause. It returns false if the context
+// waits, the members are asked often. It returns false if the context
 // ends first.
 func (b *Base) Await(ctx context.Context, ready func(view.View) bool) (view.View, bool) {
 	v, changed := b.cell.Watch()
@@ -248,13 +253,13 @@
 	control := b.options.Dial(m)
 	defer control.Close()
 	for ctx.Err() == nil {
-		answered := b.ask(ctx, control, m)
-		if answered && b.waiting.Load() > 0 {
-			continue
+		pause := b.options.Poll
+		if b.ask(ctx, control, m) && b.waiting.Load() > 0 {
+			pause = askSpacing
 		}
 		select {
 		case <-poke:
-		case <-time.After(b.options.Poll):
+		case <-time.After(pause):
 		case <-ctx.Done():
 		}
 	}
@@ -330,6 +335,11 @@
 	if err != nil {
 		return elect.Claimed{}, err
 	}
+	if seen := b.seenClaim.Swap(&old.Attempt); old.Term > after && (seen == nil || *seen != old.Attempt) {
+		// The members have not shown this claim's term yet: its promoter may be
+		// at work.
+		return elect.Claimed{Conflict: true, Claim: old}, nil
+	}
 	mine := elect.Claim{Term: max(after, old.Term) + 1, Promoter: b.options.Host, Attempt: rand.Text()}
 	body, err := json.Marshal(mine)
 	if err != nil {
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -29,7 +29,7 @@
 	done := Start(ctx, f)
 	return func() {
 		cancel()
-		_ = <-done
+		<-done
 	}
 }
 
@@ -70,7 +70,7 @@
 // Go starts f as a duty of the group.
 func (g *Group) Go(ctx context.Context, f func(context.Context) error) {
 	done := Start(ctx, f)
-	g.running.Go(func() { _ = <-done })
+	g.running.Go(func() { <-done })
 }
 
 // Wait returns when every duty of the group has ended.
--- a/internal/labdb/engine.go
+++ b/internal/labdb/engine.go
@@ -10,6 +10,8 @@
 
 	// The driver registers itself as "sqlite".
 	_ "modernc.org/sqlite"
+
+	"poplarrouter.example/poplarrouter/internal/lablog"
 )
 
 // engine keeps the rows of one member in a file of a directory of its own.
@@ -39,7 +41,7 @@
 }
 
 // replay applies one log entry.
-func (e *engine) replay(ctx context.Context, entry Entry) error {
+func (e *engine) replay(ctx context.Context, entry lablog.Entry) error {
 	tx, err := e.db.BeginTx(ctx, nil)
 	if err != nil {
 		return err
--- a/internal/labdb/follow.go
+++ b/internal/labdb/follow.go
@@ -8,6 +8,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"poplarrouter.example/poplarrouter/internal/lablog"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -31,8 +32,7 @@
 func (m *Member) following() (string, group.Term, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	follows := m.log.role == group.Replica && m.log.leader != "" && m.log.fence <= m.log.term
-	return m.log.leader, m.log.term, follows
+	return m.log.Following()
 }
 
 func (m *Member) fetchFrom(ctx context.Context, leader string, term group.Term) error {
@@ -49,22 +49,23 @@
 		if err != nil {
 			return err
 		}
-		if err := m.store(leader, term, int(from), entries); err != nil {
+		err = m.order(func(r *lablog.Log) error { return r.Store(leader, term, int(from), entries, time.Now()) })
+		if err != nil {
 			return err
 		}
 	}
 }
 
-func readTail(ctx context.Context, conn *pgconn.PgConn, term group.Term, from group.Position) ([]Entry, error) {
+func readTail(ctx context.Context, conn *pgconn.PgConn, term group.Term, from group.Position) ([]lablog.Entry, error) {
 	readCtx, cancel := context.WithTimeout(ctx, time.Second)
 	defer cancel()
 	results, err := conn.Exec(readCtx, fmt.Sprintf("SELECT poplar_log(%d, %d)", term, from)).ReadAll()
 	if err != nil {
 		return nil, err
 	}
-	var entries []Entry
+	var entries []lablog.Entry
 	for _, row := range results[0].Rows {
-		var e Entry
+		var e lablog.Entry
 		if err := msgpack.Unmarshal(row[0], &e); err != nil {
 			return nil, err
 		}
@@ -73,22 +74,6 @@
 	return entries, nil
 }
 
-// store appends fetched entries, unless the member's promises have changed
-// since they were asked for.
-func (m *Member) store(leader string, term group.Term, from int, entries []Entry) error {
-	return m.order(func(r *replog) error {
-		if r.term != term || r.leader != leader || r.fence > r.term || len(r.entries) != from {
-			return &OrderError{Order: "store", Got: "entries of an earlier leader", Want: "entries of the leader in force"}
-		}
-		now := time.Now()
-		for _, e := range entries {
-			e.arrived = now
-			r.entries = append(r.entries, e)
-		}
-		return nil
-	})
-}
-
 // apply replays stored entries into the engine, after the replica's lag.
 func (m *Member) apply(ctx context.Context) error {
 	for ctx.Err() == nil {
@@ -97,7 +82,7 @@
 			wait(ctx, changed)
 			continue
 		}
-		sleep(ctx, time.Until(entry.arrived.Add(m.options.ApplyLag)))
+		sleep(ctx, time.Until(entry.Arrived.Add(m.options.ApplyLag)))
 		if err := m.applyEntry(ctx, entry, at); err != nil {
 			sleep(ctx, retryDelay)
 		}
@@ -105,38 +90,38 @@
 	return ctx.Err()
 }
 
-func (m *Member) applyEntry(ctx context.Context, entry Entry, at int) error {
+func (m *Member) applyEntry(ctx context.Context, entry lablog.Entry, at int) error {
 	if err := m.engine.replay(ctx, entry); err != nil {
 		return err
 	}
-	return m.order(func(r *replog) error {
-		if r.applied == at && !r.rebuild {
-			r.applied++
+	return m.order(func(r *lablog.Log) error {
+		if r.Applied == at && !r.Rebuild {
+			r.Applied++
 		}
 		return nil
 	})
 }
 
-func (m *Member) nextEntry(ctx context.Context) (Entry, int, <-chan struct{}, bool) {
+func (m *Member) nextEntry(ctx context.Context) (lablog.Entry, int, <-chan struct{}, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.log.rebuild {
+	if m.log.Rebuild {
 		if err := m.engine.clear(ctx); err != nil {
-			return Entry{}, 0, m.changed, false
+			return lablog.Entry{}, 0, m.changed, false
 		}
-		m.log.applied, m.log.rebuild = 0, false
+		m.log.Applied, m.log.Rebuild = 0, false
 	}
-	if m.log.applied >= len(m.log.entries) {
-		return Entry{}, 0, m.changed, false
+	if m.log.Applied >= len(m.log.Entries) {
+		return lablog.Entry{}, 0, m.changed, false
 	}
-	return m.log.entries[m.log.applied], m.log.applied, m.changed, true
+	return m.log.Entries[m.log.Applied], m.log.Applied, m.changed, true
 }
 
 // caughtUp waits until every stored entry is applied.
 func (m *Member) caughtUp(ctx context.Context) {
 	for ctx.Err() == nil {
 		m.mu.Lock()
-		done, changed := m.log.applied >= len(m.log.entries) && !m.log.rebuild, m.changed
+		done, changed := m.log.Applied >= len(m.log.Entries) && !m.log.Rebuild, m.changed
 		m.mu.Unlock()
 		if done {
 			return
--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/lablog"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -45,7 +46,7 @@
 	writer   chan struct{}
 
 	mu       sync.Mutex
-	log      replog
+	log      lablog.Log
 	changed  chan struct{}
 	sessions map[*session]struct{}
 	nextKey  uint32
@@ -72,7 +73,7 @@
 		engine:   rows,
 		slots:    make(chan struct{}, max(options.Slots, 1)),
 		writer:   make(chan struct{}, 1),
-		log:      newReplog(role, options.Leader),
+		log:      lablog.New(role, options.Leader),
 		changed:  make(chan struct{}),
 		sessions: make(map[*session]struct{}),
 	}
@@ -96,11 +97,11 @@
 func (m *Member) State() group.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.log.state()
+	return m.log.State()
 }
 
 // order runs a change of the log under the lock and wakes those who wait.
-func (m *Member) order(change func(*replog) error) error {
+func (m *Member) order(change func(*lablog.Log) error) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if err := change(&m.log); err != nil {
@@ -118,27 +119,29 @@
 
 // commit ends an engine transaction and appends its statements to the log, if
 // the member may commit.
-func (m *Member) commit(tx *sql.Tx, statements []Statement) error {
+func (m *Member) commit(tx *sql.Tx, statements []lablog.Statement) error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if len(statements) == 0 {
 		return tx.Commit()
 	}
-	if err := m.log.writable(); err != nil {
+	if err := m.log.Writable(); err != nil {
 		_ = tx.Rollback()
 		return err
 	}
 	if err := tx.Commit(); err != nil {
 		return err
 	}
-	m.log.entries = append(m.log.entries, Entry{Term: m.log.term, Statements: statements})
-	m.log.applied++
+	if err := m.log.Append(statements); err != nil {
+		return err
+	}
+	m.log.Applied++
 	m.wake()
 	return nil
 }
 
 // tail returns the entries after a position, waiting a short time for one.
-func (m *Member) tail(ctx context.Context, term group.Term, after int) ([]Entry, error) {
+func (m *Member) tail(ctx context.Context, term group.Term, after int) ([]lablog.Entry, error) {
 	timeout := time.After(tailWait)
 	for {
 		entries, changed, err := m.peekTail(term, after)
@@ -160,17 +163,11 @@
 	tailBatch = 256
 )
 
-func (m *Member) peekTail(term group.Term, after int) ([]Entry, <-chan struct{}, error) {
+func (m *Member) peekTail(term group.Term, after int) ([]lablog.Entry, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	if m.log.term != term || m.log.role != group.Primary {
-		return nil, nil, &ReadOnlyError{Term: m.log.term}
-	}
-	if after >= len(m.log.entries) {
-		return nil, m.changed, nil
-	}
-	entries := m.log.entries[after:]
-	return entries[:min(len(entries), tailBatch)], m.changed, nil
+	entries, err := m.log.Tail(term, after)
+	return entries[:min(len(entries), tailBatch)], m.changed, err
 }
 
 func (m *Member) serve(ctx context.Context) error {
--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -9,6 +9,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"poplarrouter.example/poplarrouter/internal/lablog"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -63,9 +64,9 @@
 	}
 	switch c.name {
 	case "fence":
-		err = s.member.order(func(r *replog) error { return r.promise(term, c.arg(1)) })
+		err = s.member.order(func(r *lablog.Log) error { return r.Promise(term, c.arg(1)) })
 	case "promote":
-		err = s.member.order(func(r *replog) error { return r.promote(term, c.arg(1)) })
+		err = s.member.order(func(r *lablog.Log) error { return r.Promote(term, c.arg(1)) })
 	case "follow":
 		err = s.follow(term, c)
 	case "log":
@@ -85,7 +86,7 @@
 	if err != nil {
 		return err
 	}
-	return s.member.order(func(r *replog) error { return r.follow(term, c.arg(1), starts) })
+	return s.member.order(func(r *lablog.Log) error { return r.Follow(term, c.arg(1), starts) })
 }
 
 // sendStatus answers one row that describes the member.
--- a/internal/labdb/run.go
+++ b/internal/labdb/run.go
@@ -11,6 +11,8 @@
 	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/internal/lablog"
 )
 
 // Object identifiers of the PostgreSQL types that the stand-in answers with.
@@ -253,7 +255,7 @@
 	if err := s.member.writable(); err != nil {
 		return err
 	}
-	s.written = append(s.written, Statement{SQL: p.text, Args: p.args})
+	s.written = append(s.written, lablog.Statement{SQL: p.text, Args: p.args})
 	if strings.Contains(strings.ToUpper(p.text), "RETURNING") {
 		return s.query(ctx, p, described, tagWord(p.text))
 	}
@@ -269,7 +271,7 @@
 func (m *Member) writable() error {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.log.writable()
+	return m.log.Writable()
 }
 
 func tagWord(text string) string {
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -13,6 +13,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/internal/lablog"
 )
 
 // SQLSTATEs that the stand-in answers with.
@@ -43,7 +45,7 @@
 	explicit bool
 	failed   bool
 	locked   bool
-	written  []Statement
+	written  []lablog.Statement
 }
 
 type portal struct {
@@ -306,8 +308,8 @@
 func (s *session) report(err error) {
 	s.failed = s.failed || s.explicit
 	var coded *stateError
-	var readOnly *ReadOnlyError
-	var refused *OrderError
+	var readOnly *lablog.ReadOnlyError
+	var refused *lablog.OrderError
 	switch {
 	case errors.As(err, &coded):
 		s.fail(coded.state, coded.text)
