Whole-path specs; peers answer on the same connection; writes outlive a refusing primary

Causes found by the new specs (internal/labset), each red first: - a proxy that started with the store down learnt nothing: peers only pushed documents to hosts they knew.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -129,6 +129,7 @@
 		Host:    s.Host,
 		Region:  s.Region,
 		Secret:  s.PeerSecret,
+		Seeds:   s.Seeds,
 		Beat:    s.Timing.BeatMs.Duration(),
 		Timeout: s.Timing.AskTimeoutMs.Duration(),
 		Log:     log,
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -33,14 +33,14 @@
 }
 
 // routeWrite waits for a primary. A write that a member refused because it is no
-// longer the primary was not run, and waits for the next one.
+// longer the primary, or that reached no member, was not run: it waits for the
+// next primary, or for a new answer of this one.
 func (f *filters) routeWrite(ctx context.Context, r *Request, next Handler) error {
-	var refusedBy string
-	var refusedTerm group.Term
+	refusedBy, refusedAt := "", time.Time{}
 	for {
 		v, found := r.base.Await(ctx, func(v view.View) bool {
 			m, writable := v.Writable()
-			return writable && (m.Name != refusedBy || v.Term() > refusedTerm)
+			return writable && (m.Name != refusedBy || answeredSince(v, m, refusedAt))
 		})
 		if !found {
 			return fault.New(fault.NoPrimary, "route write", "database %q had no serving primary within the deadline of %s", r.Work.Database, r.Work.Deadline)
@@ -49,22 +49,33 @@
 		r.targets = []view.Member{primary}
 		f.Log.Emit(event.WriteRouted, f.routed(r, primary, "primary of the term", v.Term()))
 		err := next(ctx, r)
-		if err != nil || !r.refused {
+		if !r.refused && !unreachable(err) {
 			return err
 		}
-		refusedBy, refusedTerm = primary.Name, v.Term()
+		refusedBy, refusedAt = primary.Name, time.Now()
 		r.Out.Discard()
 	}
 }
 
+func answeredSince(v view.View, m view.Member, since time.Time) bool {
+	r, found := v.Report(m.Name)
+	return found && r.Asked.After(since)
+}
+
+func unreachable(err error) bool {
+	return err != nil && fault.Of(err).Kind == fault.Unreachable
+}
+
 // readOnlyState is the SQLSTATE by which a member refuses a write because it is
 // a replica, or promised a later term.
 const readOnlyState = "25006"
 
-// refusedAsReplica tells whether a write was refused before anything of it took
-// effect, because the member is not the primary.
-func refusedAsReplica(a wire.Answer) bool {
-	return a.Refusal == readOnlyState && a.Completed == 0 && a.Status == wire.Idle
+// refusedAsReplica tells whether a write was refused because the member is not
+// the primary, with nothing of it in effect: no statement completed, or the only
+// one did and its commit, which comes after it, was refused.
+func refusedAsReplica(b *wire.Batch, a wire.Answer) bool {
+	nothing := a.Completed == 0 || (a.Completed == 1 && b.Single())
+	return a.Refusal == readOnlyState && nothing && a.Status == wire.Idle
 }
 
 // routeRead finds the floor that the read must see, and the members that have
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -75,7 +75,7 @@
 	if answer.Status == wire.Idle {
 		f.drop(r, !answer.Dirty)
 	}
-	r.refused = l.MayWrite && !r.pinned && !r.Out.Sent() && refusedAsReplica(answer)
+	r.refused = l.MayWrite && !r.pinned && !r.Out.Sent() && refusedAsReplica(r.Batch, answer)
 	if r.refused {
 		// The member executed nothing, so that the work may be sent again.
 		r.sends = 0
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -34,6 +34,9 @@
 	PeerAddress string
 	// OperatorAddress is the IP and port of health, metrics and orders.
 	OperatorAddress string
+	// Seeds are the peer addresses of other proxies, which are asked for the
+	// documents while neither the store nor a list of hosts can be read.
+	Seeds []string
 	// StoreAddress is the IP and port of the platform's store.
 	StoreAddress string
 	// PeerSecret authenticates proxies to one another.
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -79,10 +79,14 @@
 }
 
 func wanted(kind reflect.Kind) string {
-	if kind == reflect.String {
+	switch kind {
+	case reflect.String:
 		return "a string"
+	case reflect.Slice:
+		return "a list of strings"
+	default:
+		return "a whole number"
 	}
-	return "a whole number"
 }
 
 func nonempty(path string) string {
@@ -114,6 +118,9 @@
 	c.address("StoreAddress", s.StoreAddress)
 	c.secret("PeerSecret", s.PeerSecret)
 	c.secret("OperatorSecret", s.OperatorSecret)
+	for i, seed := range s.Seeds {
+		c.address(fmt.Sprintf("Seeds.%d", i), seed)
+	}
 	c.name("MemberUser", s.MemberUser)
 	c.numbers("Limits", reflect.ValueOf(s.Limits))
 	c.numbers("Timing", reflect.ValueOf(s.Timing))
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -485,10 +485,10 @@
 	}
 }
 
-// write sends one write after the other through the proxy.
+// write sends writes through the proxy at a steady rate, from many callers.
 func (p *fakeProxy) write(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
-		p.writeOne(ctx, fmt.Sprintf("%s/%d", p.name, n))
+		p.world.running.Go(func() { p.writeOne(ctx, fmt.Sprintf("%s/%d", p.name, n)) })
 		pause(ctx, writePeriod)
 	}
 }
--- a/internal/labdb/run.go
+++ b/internal/labdb/run.go
@@ -46,13 +46,19 @@
 		s.backend.Send(&pgproto3.EmptyQueryResponse{})
 		return
 	}
-	for _, st := range statements {
+	for i, st := range statements {
+		// The last statement counts as complete only once it is committed.
+		s.deferring = i == len(statements)-1
 		if err := s.run(ctx, portal{text: st}, true); err != nil {
+			s.deferring = false
 			s.report(err)
 			return
 		}
 	}
-	s.endImplicit()
+	s.deferring = false
+	if s.endImplicit() {
+		s.complete(s.deferred)
+	}
 }
 
 // split cuts a query string at semicolons outside quotes.
@@ -120,7 +126,13 @@
 	return s.runSlot(ctx, p, described)
 }
 
+// complete reports a statement as complete, or keeps that for the end of a
+// simple query.
 func (s *session) complete(tag string) {
+	if s.deferring {
+		s.deferred = tag
+		return
+	}
 	s.backend.Send(&pgproto3.CommandComplete{CommandTag: []byte(tag)})
 }
 
@@ -190,10 +202,10 @@
 }
 
 // endImplicit commits the transaction that a statement outside a transaction
-// block opened.
-func (s *session) endImplicit() {
+// block opened. It tells whether that went well, or there was none.
+func (s *session) endImplicit() bool {
 	if s.tx == nil || s.explicit {
-		return
+		return true
 	}
 	tx, written := s.tx, s.written
 	s.tx = nil
@@ -202,6 +214,7 @@
 	if err != nil {
 		s.report(err)
 	}
+	return err == nil
 }
 
 // runSlot waits for a slot and runs a statement in it.
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -37,6 +37,9 @@
 	readOnly bool
 	cancel   context.CancelFunc
 
+	deferring bool
+	deferred  string
+
 	prepared map[string]string
 	portals  map[string]portal
 	skipping bool
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -99,8 +99,23 @@
 func (s *Set) StopMember(i int) { s.stops[i]() }
 
 // URL returns the PostgreSQL URL of a proxy for the sheet's caller.
-func (s *Set) URL(proxy int) string {
-	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, s.proxies[proxy].Address(), Service)
+func (s *Set) URL(proxy int) string { return s.URLOf(s.proxies[proxy]) }
+
+// URLOf returns the PostgreSQL URL of a proxy for the sheet's caller.
+func (s *Set) URLOf(p *Proxy) string {
+	return fmt.Sprintf("postgres://%s:%s@%s/%s?sslmode=disable", Caller, Password, p.Address(), Service)
+}
+
+// StartProxyLike ends a proxy and starts another in its place, which knows
+// nothing of what the first one knew.
+func (s *Set) StartProxyLike(i int, host string) (*Proxy, error) {
+	settings := s.proxies[i].Settings
+	settings.Host = host
+	s.proxies[i].Stop()
+	if err := s.startProxy(settings); err != nil {
+		return nil, err
+	}
+	return s.proxies[len(s.proxies)-1], nil
 }
 
 const headerTimeout = 5 * time.Second
@@ -238,6 +253,13 @@
 			Name: all[i].Host, DataCentre: all[i].DataCentre, Region: all[i].Region, PeerAddress: all[i].PeerAddress,
 		})
 	}
+	for i := range all {
+		for j, h := range hosts.Hosts {
+			if j != i {
+				all[i].Seeds = append(all[i].Seeds, h.PeerAddress)
+			}
+		}
+	}
 	if err := s.Put(book.Hosts, hosts); err != nil {
 		return err
 	}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -3,10 +3,11 @@
 // primary with their answers, and cancel requests that reached another proxy.
 //
 // Proxies talk over TCP. A frame is a length of four bytes, most significant
-// first, and a msgpack map with Pascal-case keys. Each connection carries frames
-// one way, from the proxy that opened it. It begins with a challenge: the
-// accepting side sends a random nonce, and the opening side answers with its
-// name and an HMAC-SHA256 of nonce and name under the shared secret.
+// first, and a msgpack map with Pascal-case keys. A connection begins with a
+// challenge on each side: the accepting side sends a random nonce, the opening
+// side answers with its name, a nonce of its own and an HMAC-SHA256 of nonce and
+// name under the shared secret, and the accepting side proves itself likewise.
+// After that the opening side sends, and the accepting side answers.
 package peer
 
 import (
@@ -31,17 +32,30 @@
 
 // Frame is one message. Exactly one field is set.
 type Frame struct {
+	Challenge *Challenge `msgpack:",omitempty"`
 	Hello     *Hello     `msgpack:",omitempty"`
+	Welcome   *Welcome   `msgpack:",omitempty"`
 	Beat      *Beat      `msgpack:",omitempty"`
 	Doc       *book.Doc  `msgpack:",omitempty"`
 	Ask       *Ask       `msgpack:",omitempty"`
 	Vote      *VoteFrame `msgpack:",omitempty"`
 	Cancel    *Cancel    `msgpack:",omitempty"`
-	Challenge []byte     `msgpack:",omitempty"`
 }
 
-// Hello answers the challenge.
+// Challenge asks the opening side for a proof.
+type Challenge struct {
+	Nonce []byte
+}
+
+// Hello answers a Challenge and asks for a proof in turn.
 type Hello struct {
+	Host  string
+	Nonce []byte
+	Proof []byte
+}
+
+// Welcome answers a Hello.
+type Welcome struct {
 	Host  string
 	Proof []byte
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -11,6 +11,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/elect"
@@ -35,9 +37,11 @@
 
 // Options are what a Mesh depends on.
 type Options struct {
-	Host    string
-	Region  string
-	Secret  string
+	Host   string
+	Region string
+	Secret string
+	// Seeds are the addresses of peers to ask while no list of hosts is known.
+	Seeds   []string
 	Beat    time.Duration
 	Timeout time.Duration
 	Log     *event.Log
@@ -148,16 +152,24 @@
 // send offers a frame to a peer, and opens the connection if there is none.
 func (m *Mesh) send(host string, f Frame) {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	h, known := m.hosts[host]
-	if !known || m.closed {
+	m.mu.Unlock()
+	if known {
+		m.sendTo(h, f)
+	}
+}
+
+func (m *Mesh) sendTo(h book.Host, f Frame) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.closed {
 		return
 	}
-	l, found := m.links[host]
+	l, found := m.links[h.Name]
 	if !found {
 		l = &link{frames: duty.NewRing[Frame](sendRing)}
 		l.stop = duty.Run(func(ctx context.Context) error { return m.write(ctx, h, l) })
-		m.links[host] = l
+		m.links[h.Name] = l
 	}
 	l.frames.Offer(f)
 }
@@ -225,13 +237,26 @@
 		case <-ctx.Done():
 			return nil
 		}
-		f := Frame{Beat: &Beat{Serials: m.handler.Book().Serials()}}
+		f := m.heartbeat()
 		for _, host := range m.Neighbours() {
 			m.send(host, f)
 		}
+		for _, address := range m.seeds() {
+			m.sendTo(book.Host{Name: address, PeerAddress: address}, f)
+		}
 	}
 }
 
+func (m *Mesh) heartbeat() Frame { return Frame{Beat: &Beat{Serials: m.handler.Book().Serials()}} }
+
+// seeds returns the addresses to ask while no list of hosts is known.
+func (m *Mesh) seeds() []string {
+	if m.handler.Book().Serial(book.Hosts) > 0 {
+		return nil
+	}
+	return m.options.Seeds
+}
+
 // write is the duty that keeps the connection to one peer and sends its frames.
 func (m *Mesh) write(ctx context.Context, h book.Host, l *link) error {
 	for ctx.Err() == nil {
@@ -254,13 +279,33 @@
 		return err
 	}
 	defer func() { _ = conn.Close() }()
-	if err := m.greet(conn); err != nil {
+	host, err := m.greet(conn)
+	if err != nil {
 		return err
 	}
-	m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": h.Name})
+	m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": host})
+	l.frames.Offer(m.heartbeat())
+	return m.converse(ctx, conn, host, l.frames, 0)
+}
+
+// converse sends the frames of a ring and takes those of the peer, until either
+// way fails. A silence of more than deaf ends it too, if deaf is above 0.
+func (m *Mesh) converse(ctx context.Context, conn net.Conn, host string, frames *duty.Ring[Frame], deaf time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reading := duty.Start(ctx, func(context.Context) error {
+		defer cancel()
+		return m.read(conn, host, frames, deaf)
+	})
+	err := m.drainRing(ctx, conn, frames)
+	_ = conn.Close()
+	return errors.CombineErrors(<-reading, err)
+}
+
+func (m *Mesh) drainRing(ctx context.Context, conn net.Conn, frames *duty.Ring[Frame]) error {
 	for {
 		select {
-		case f := <-l.frames.Items():
+		case f := <-frames.Items():
 			if err := m.writeFrame(conn, f); err != nil {
 				return err
 			}
@@ -270,6 +315,24 @@
 	}
 }
 
+func (m *Mesh) read(conn net.Conn, host string, frames *duty.Ring[Frame], deaf time.Duration) error {
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	for {
+		if deaf > 0 {
+			if err := conn.SetReadDeadline(time.Now().Add(deaf)); err != nil {
+				return err
+			}
+		}
+		f, err := Decode(conn, MaxFrame)
+		if err != nil {
+			return err
+		}
+		m.take(host, f, frames)
+	}
+}
+
 func (m *Mesh) writeFrame(conn net.Conn, f Frame) error {
 	raw, err := Encode(f)
 	if err != nil {
@@ -282,24 +345,47 @@
 	return err
 }
 
-// greet answers the challenge of the accepting side.
-func (m *Mesh) greet(conn net.Conn) error {
+// greet answers the challenge of the accepting side and checks its proof. It
+// returns the peer's name.
+func (m *Mesh) greet(conn net.Conn) (string, error) {
 	if err := conn.SetReadDeadline(time.Now().Add(m.options.Timeout)); err != nil {
-		return err
+		return "", err
 	}
 	f, err := Decode(conn, maxGreeting)
 	if err != nil {
-		return err
+		return "", err
 	}
-	if len(f.Challenge) != nonceBytes {
-		return &FrameError{Got: "another frame", Want: "a challenge"}
+	if f.Challenge == nil || len(f.Challenge.Nonce) != nonceBytes {
+		return "", &FrameError{Got: "another frame", Want: "a challenge"}
+	}
+	nonce := newNonce()
+	hello := Hello{Host: m.options.Host, Nonce: nonce, Proof: m.proof(f.Challenge.Nonce, "hello", m.options.Host)}
+	if err := m.writeFrame(conn, Frame{Hello: &hello}); err != nil {
+		return "", err
+	}
+	f, err = Decode(conn, maxGreeting)
+	if err != nil {
+		return "", err
+	}
+	if f.Welcome == nil || !hmac.Equal(f.Welcome.Proof, m.proof(nonce, "welcome", f.Welcome.Host)) {
+		return "", &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
 	}
-	return m.writeFrame(conn, Frame{Hello: &Hello{Host: m.options.Host, Proof: m.proof(f.Challenge, m.options.Host)}})
+	return f.Welcome.Host, nil
 }
 
-func (m *Mesh) proof(nonce []byte, host string) []byte {
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	return nonce
+}
+
+// proof binds a nonce to the side that answers it, so that a proof cannot be
+// sent back to the one who asked for it.
+func (m *Mesh) proof(nonce []byte, side, host string) []byte {
 	mac := hmac.New(sha256.New, []byte(m.options.Secret))
 	mac.Write(nonce)
+	mac.Write([]byte(side))
+	mac.Write([]byte{0})
 	mac.Write([]byte(host))
 	return mac.Sum(nil)
 }
@@ -315,9 +401,9 @@
 			_ = conn.Close()
 			return nil
 		}
-		m.accepted.Go(ctx, func(context.Context) error {
+		m.accepted.Go(ctx, func(ctx context.Context) error {
 			defer m.release(conn)
-			return m.read(conn)
+			return m.serve(ctx, conn)
 		})
 	}
 }
@@ -336,54 +422,47 @@
 	delete(m.inbound, conn)
 }
 
-func (m *Mesh) read(conn net.Conn) error {
+func (m *Mesh) serve(ctx context.Context, conn net.Conn) error {
 	host, err := m.challenge(conn)
 	if err != nil {
 		m.options.Log.Emit(event.PeerDenied, event.Fields{"Address": conn.RemoteAddr().String(), "Cause": err.Error()})
 		return err
 	}
-	for {
-		deadline := time.Now().Add(deafBeats*m.options.Beat + m.options.Timeout)
-		if err := conn.SetReadDeadline(deadline); err != nil {
-			return err
-		}
-		f, err := Decode(conn, MaxFrame)
-		if err != nil {
-			return err
-		}
-		m.take(host, f)
-	}
+	deaf := deafBeats*m.options.Beat + m.options.Timeout
+	return m.converse(ctx, conn, host, duty.NewRing[Frame](sendRing), deaf)
 }
 
-// challenge makes the opening side prove that it holds the secret.
+// challenge makes the opening side prove that it holds the secret, and proves
+// the same to it. It returns the peer's name.
 func (m *Mesh) challenge(conn net.Conn) (string, error) {
-	nonce := make([]byte, nonceBytes)
-	_, _ = rand.Read(nonce)
+	nonce := newNonce()
 	if err := conn.SetReadDeadline(time.Now().Add(m.options.Timeout)); err != nil {
 		return "", err
 	}
-	if err := m.writeFrame(conn, Frame{Challenge: nonce}); err != nil {
+	if err := m.writeFrame(conn, Frame{Challenge: &Challenge{Nonce: nonce}}); err != nil {
 		return "", err
 	}
 	f, err := Decode(conn, maxGreeting)
 	if err != nil {
 		return "", err
 	}
-	if f.Hello == nil || !hmac.Equal(f.Hello.Proof, m.proof(nonce, f.Hello.Host)) {
+	if f.Hello == nil || !hmac.Equal(f.Hello.Proof, m.proof(nonce, "hello", f.Hello.Host)) {
 		return "", &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
 	}
-	return f.Hello.Host, nil
+	welcome := Welcome{Host: m.options.Host, Proof: m.proof(f.Hello.Nonce, "welcome", m.options.Host)}
+	return f.Hello.Host, m.writeFrame(conn, Frame{Welcome: &welcome})
 }
 
-func (m *Mesh) take(host string, f Frame) {
+// take handles a frame of a peer. Answers go back over the same connection.
+func (m *Mesh) take(host string, f Frame, answers *duty.Ring[Frame]) {
 	switch {
 	case f.Beat != nil:
-		m.answerBeat(host, *f.Beat)
+		m.answerBeat(*f.Beat, answers)
 	case f.Doc != nil:
 		m.handler.TakeDoc(*f.Doc)
 	case f.Ask != nil:
 		vote := elect.Vote{From: m.options.Host, Term: f.Ask.Term, Down: m.handler.Judge(f.Ask.Database, f.Ask.Term)}
-		m.send(host, Frame{Vote: &VoteFrame{Database: f.Ask.Database, Vote: vote}})
+		answers.Offer(Frame{Vote: &VoteFrame{Database: f.Ask.Database, Vote: vote}})
 	case f.Vote != nil:
 		vote := f.Vote.Vote
 		vote.From = host
@@ -394,11 +473,11 @@
 }
 
 // answerBeat sends the peer the documents that it lacks.
-func (m *Mesh) answerBeat(host string, b Beat) {
+func (m *Mesh) answerBeat(b Beat, answers *duty.Ring[Frame]) {
 	held := m.handler.Book()
 	for _, kind := range book.Kinds() {
 		if doc, found := held.Doc(kind); found && doc.Serial > b.Serials[kind] {
-			m.send(host, Frame{Doc: &doc})
+			answers.Offer(Frame{Doc: &doc})
 		}
 	}
 }
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -47,10 +47,10 @@
 	// Local is a statement for the proxy itself, or nil.
 	Local *Local
 
-	items    []item
-	bytes    int
-	executed bool
-	parses   map[string][]byte
+	items      []item
+	bytes      int
+	executions int
+	parses     map[string][]byte
 }
 
 // statement is what a session remembers of a prepared statement.
@@ -90,7 +90,7 @@
 	case *pgproto3.Describe:
 		return nil, c.describe(msg)
 	case *pgproto3.Execute:
-		c.batch.executed = true
+		c.batch.executions++
 		return nil, c.add(plainItem, "", msg)
 	case *pgproto3.Close:
 		return nil, c.close(msg)
