Peers: no frame is built before the mesh has started

Cause: a connection to a peer that was opened by an early list of hosts read the handler before Start had set it: the proxy crashed at its start (3 of about 70 starts by hand, seen in the whole-path specs as a nil pointer in heartbeat).

--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -63,7 +63,9 @@
 type Mesh struct {
 	options  Options
 	listener net.Listener
-	handler  Handler
+	// started closes when handler is set; connections wait for it.
+	started chan struct{}
+	handler Handler
 
 	mu       sync.Mutex
 	hosts    map[string]book.Host
@@ -88,6 +90,7 @@
 	m := &Mesh{
 		options:  options,
 		listener: listener,
+		started:  make(chan struct{}),
 		hosts:    make(map[string]book.Host),
 		links:    make(map[string]*link),
 		inbound:  make(map[net.Conn]struct{}),
@@ -101,6 +104,7 @@
 // Start begins to take frames, and returns the clean-up function.
 func (m *Mesh) Start(h Handler) func() {
 	m.handler = h
+	close(m.started)
 	stopAccept := duty.Run(m.accept)
 	stopBeat := duty.Run(m.beat)
 	return func() {
@@ -259,6 +263,11 @@
 
 // write is the duty that keeps the connection to one peer and sends its frames.
 func (m *Mesh) write(ctx context.Context, h book.Host, l *link) error {
+	select {
+	case <-m.started:
+	case <-ctx.Done():
+		return nil
+	}
 	for ctx.Err() == nil {
 		err := m.writeConn(ctx, h, l)
 		if err != nil && ctx.Err() == nil {
