--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -67,10 +67,9 @@
 	running sync.WaitGroup
 }
 
-// Go starts f as a duty of the group.
+// Go starts f as a duty of the group. Its error is for f itself to report.
 func (g *Group) Go(ctx context.Context, f func(context.Context) error) {
-	done := Start(ctx, f)
-	g.running.Go(func() { <-done })
+	g.running.Go(func() { _ = f(ctx) })
 }
 
 // Wait returns when every duty of the group has ended.
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -12,6 +12,7 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 
 	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/wire"
@@ -60,7 +61,9 @@
 // serve logs the caller in and answers its requests until it goes.
 func (s *Session) serve(ctx context.Context) error {
 	s.backend.SetMaxBodyLen(s.front.options.RequestBytes)
-	if err := s.login(); err != nil {
+	// The log-in needs a deep stack, which an idle session should not keep: it
+	// runs as a duty of its own.
+	if err := <-duty.Start(ctx, func(context.Context) error { return s.login() }); err != nil {
 		return s.denied(err)
 	}
 	log := s.front.options.Log
