--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -21,6 +21,7 @@
 	"poplarrouter.example/poplarrouter/internal/gate"
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/internal/view"
@@ -55,7 +56,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(
-			newLog, newRegistry, newGuard, newStore, newMesh, newBooks, newBases, newSlots, newHandler, newLeaving, newFront, newOperator,
+			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newBooks, newBases, newSlots, newHandler, newLeaving, newFront, newOperator,
 		),
 		fx.Populate(&p.front, &p.log, &p.leaving),
 		fx.Invoke(joinMesh, func(*operator) {}),
@@ -118,13 +119,15 @@
 	return guard.New(log, registry, nil)
 }
 
+func newMeter(registry *prometheus.Registry) *meter.Meter { return meter.New(registry) }
+
 func newStore(lc fx.Lifecycle, s config.Settings) store.Store {
 	client, cleanUp := store.New(s.StoreAddress, s.Timing.WatchMs.Duration())
 	onStop(lc, cleanUp)
 	return client
 }
 
-func newMesh(lc fx.Lifecycle, s config.Settings, log *event.Log) (*peer.Mesh, error) {
+func newMesh(lc fx.Lifecycle, s config.Settings, log *event.Log, bytes *meter.Meter) (*peer.Mesh, error) {
 	mesh, cleanUp, err := peer.New(peer.Options{
 		Host:    s.Host,
 		Region:  s.Region,
@@ -133,6 +136,7 @@
 		Beat:    s.Timing.BeatMs.Duration(),
 		Timeout: s.Timing.AskTimeoutMs.Duration(),
 		Log:     log,
+		Meter:   bytes,
 	}, s.PeerAddress)
 	if err != nil {
 		return nil, err
@@ -151,8 +155,10 @@
 	return books
 }
 
-func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh) *ctrl.Bases {
-	login := member.Login{User: s.MemberUser, Password: s.MemberPassword}
+func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh, bytes *meter.Meter) *ctrl.Bases {
+	login := func(m view.Member, kind meter.Kind) member.Login {
+		return member.Login{User: s.MemberUser, Password: s.MemberPassword, Dial: bytes.Dial(kind, m.Region)}
+	}
 	bases, cleanUp := ctrl.NewBases(ctrl.BasesOptions{
 		Base: ctrl.BaseOptions{
 			Host:     s.Host,
@@ -161,12 +167,11 @@
 			Timeout:  s.Timing.AskTimeoutMs.Duration(),
 			Watchers: mesh,
 			Store:    st,
-			Dial:     func(m view.Member) member.Control { return member.NewLink(m.Address, login) },
+			Dial:     func(m view.Member) member.Control { return member.NewLink(m.Address, login(m, meter.Control)) },
 			Log:      log,
 		},
 		Books:       books,
-		User:        s.MemberUser,
-		Password:    s.MemberPassword,
+		Login:       func(m view.Member) member.Login { return login(m, meter.Work) },
 		Connections: s.Limits.MemberConnections,
 		IdleCheck:   s.Timing.IdleCheckMs.Duration(),
 		Hosts:       mesh.SetHosts,
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -22,9 +22,8 @@
 type BasesOptions struct {
 	Base  BaseOptions
 	Books *Books
-	User  string
-	// Password logs the proxy in at members.
-	Password string
+	// Login returns how to reach a member for callers' work.
+	Login func(m view.Member) member.Login
 	// Connections is how many pooled connections each member gets, for reads
 	// and for writes together.
 	Connections int
@@ -97,7 +96,8 @@
 	key := poolKey{database: database, address: m.Address, mode: mode}
 	owned, found := b.pools[key]
 	if !found {
-		login := member.Login{User: b.options.User, Password: b.options.Password, Database: database}
+		login := b.options.Login(m)
+		login.Database = database
 		limit := max(b.options.Connections/2, 1)
 		owned.pool, owned.stop = member.NewPool(m.Address, login, mode, limit, b.options.IdleCheck)
 		b.pools[key] = owned
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -18,6 +18,7 @@
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/labdb"
 	"poplarrouter.example/poplarrouter/internal/labkv"
+	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/internal/view"
 )
 
@@ -223,22 +224,54 @@
 }
 
 func (s *Set) settings(i int) (config.Settings, error) {
+	c, err := SettingsOf(fmt.Sprintf("host-%d", i+1), s.address)
+	if err == nil && s.options.Settings != nil {
+		s.options.Settings(&c)
+	}
+	return c, err
+}
+
+// SettingsOf returns the settings of a proxy of the set beside the store at the
+// given address.
+func SettingsOf(host, storeAddress string) (config.Settings, error) {
 	c := config.Default()
-	c.Place = config.Place{Host: fmt.Sprintf("host-%d", i+1), DataCentre: "dc-1", Region: "region-1"}
+	c.Place = config.Place{Host: host, DataCentre: "dc-1", Region: "region-1"}
 	c.CallerAddress = "127.0.0.1:0"
-	c.StoreAddress = s.address
+	c.StoreAddress = storeAddress
 	c.PeerSecret, c.OperatorSecret = Secret, Secret
 	var err error
 	if c.PeerAddress, err = freeAddress(); err != nil {
 		return c, err
 	}
-	if c.OperatorAddress, err = freeAddress(); err != nil {
-		return c, err
+	c.OperatorAddress, err = freeAddress()
+	return c, err
+}
+
+// Multiply lists the set's database under so many further names, all with the
+// same members, in the store at the given address.
+func Multiply(ctx context.Context, storeAddress string, databases int) error {
+	client, cleanUp := store.New(storeAddress, time.Second)
+	defer cleanUp()
+	object, err := client.Get(ctx, string(book.Databases))
+	if err != nil {
+		return err
 	}
-	if s.options.Settings != nil {
-		s.options.Settings(&c)
+	var doc book.DatabasesDoc
+	if err := json.Unmarshal(object.Value, &doc); err != nil {
+		return err
+	}
+	doc.Serial++
+	for i := 1; i < databases; i++ {
+		further := doc.Databases[0]
+		further.Name = fmt.Sprintf("%s-%d", Database, i)
+		doc.Databases = append(doc.Databases, further)
 	}
-	return c, nil
+	raw, err := json.Marshal(doc)
+	if err != nil {
+		return err
+	}
+	_, err = client.Put(ctx, string(book.Databases), raw, object.Version)
+	return err
 }
 
 func (s *Set) startProxies() error {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -124,12 +124,10 @@
 	if l.conn != nil && !l.conn.IsClosed() {
 		return nil
 	}
-	config, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", l.address))
+	config, err := l.login.config(l.address)
 	if err != nil {
 		return err
 	}
-	config.User, config.Password, config.Database = l.login.User, l.login.Password, l.login.Database
-	config.Fallbacks = nil
 	l.conn, err = pgconn.ConnectConfig(ctx, config)
 	return err
 }
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -17,12 +17,31 @@
 	"github.com/jackc/pgx/v5/pgproto3"
 )
 
-// Login is how the proxy logs in at members.
+// DialFunc opens a TCP connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Login is how the proxy reaches and logs in at members.
 type Login struct {
 	User     string
 	Password string
 	// Database is the name that members know the database by.
 	Database string
+	// Dial opens connections; nil stands for a plain one.
+	Dial DialFunc
+}
+
+// config returns what a connection to address (IP:port) needs.
+func (l Login) config(address string) (*pgconn.Config, error) {
+	c, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", address))
+	if err != nil {
+		return nil, err
+	}
+	c.User, c.Password, c.Database = l.User, l.Password, l.Database
+	c.Fallbacks = nil
+	if l.Dial != nil {
+		c.DialFunc = pgconn.DialFunc(l.Dial)
+	}
+	return c, nil
 }
 
 // Mode tells what a pooled connection may be used for.
@@ -54,12 +73,10 @@
 
 // Dial opens a connection. The context bounds the whole of it.
 func Dial(ctx context.Context, address string, login Login, mode Mode) (*Conn, error) {
-	config, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", address))
+	config, err := login.config(address)
 	if err != nil {
 		return nil, err
 	}
-	config.User, config.Password, config.Database = login.User, login.Password, login.Database
-	config.Fallbacks = nil
 	if mode == ReadOnly {
 		config.RuntimeParams["options"] = "-c default_transaction_read_only=on"
 	}
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -17,6 +17,7 @@
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/elect"
 	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/pick"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -45,6 +46,7 @@
 	Beat    time.Duration
 	Timeout time.Duration
 	Log     *event.Log
+	Meter   *meter.Meter
 }
 
 const (
@@ -287,6 +289,7 @@
 	if err != nil {
 		return err
 	}
+	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
 	defer func() { _ = conn.Close() }()
 	host, err := m.greet(conn)
 	if err != nil {
@@ -438,9 +441,16 @@
 		return err
 	}
 	deaf := deafBeats*m.options.Beat + m.options.Timeout
+	conn = m.options.Meter.Wrap(conn, meter.Peer, m.regionOf(host))
 	return m.converse(ctx, conn, host, duty.NewRing[Frame](sendRing), deaf)
 }
 
+func (m *Mesh) regionOf(host string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts[host].Region
+}
+
 // challenge makes the opening side prove that it holds the secret, and proves
 // the same to it. It returns the peer's name.
 func (m *Mesh) challenge(conn net.Conn) (string, error) {
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -9,10 +9,12 @@
 	"time"
 
 	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/elect"
 	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -58,7 +60,7 @@
 func newMesh(t *testing.T, host, secret string) *peer.Mesh {
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
-	m, cleanUp, err := peer.New(peer.Options{Host: host, Region: "r", Secret: secret, Beat: beat, Timeout: time.Second, Log: log}, "127.0.0.1:0")
+	m, cleanUp, err := peer.New(peer.Options{Host: host, Region: "r", Secret: secret, Beat: beat, Timeout: time.Second, Log: log, Meter: meter.New(prometheus.NewRegistry())}, "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(cleanUp)
 	return m
