Slots shared by one dispatcher for each member, chosen by the member itself

Cause: a queue in each proxy cannot serve urgent work first across proxies, and nine proxies cannot share five slots by halves. Weighed: fixed shares (below one slot a proxy); a lease in the store (30,000 members renewing do not fit several hundred writes a second); forwarding every statement to a dispatcher (bytes over the link). Chosen: the member keeps one leading connection, and its holder, shown in the member's state, grants slots. A new dispatcher waits for its predecessor's grants; a silent one is evicted; slots of a silent proxy come back once the member is found not to use them. Pools hold both modes of connection under one limit.

--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -114,9 +114,9 @@
 		}
 	}
 	t.row()
-	t.row("POOL", "MEMBER", "READ ONLY", "LENT", "IDLE")
+	t.row("POOL", "MEMBER", "LENT", "IDLE")
 	for _, p := range s.Pools {
-		t.row(p.Database, p.Address, p.ReadOnly, p.Lent, p.Idle)
+		t.row(p.Database, p.Address, p.Lent, p.Idle)
 	}
 	t.row()
 	t.row("QUEUE", "FREE SLOTS", "WAITING")
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -180,11 +180,28 @@
 	return bases
 }
 
-func newSlots(s config.Settings) *gate.Local {
-	return gate.NewLocal(s.Limits.MemberConnections, s.Limits.Queue)
+// silentBeats is how many heartbeats a dispatcher may miss before it is evicted.
+const silentBeats = 3
+
+func newSlots(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, log *event.Log, mesh *peer.Mesh, bytes *meter.Meter) *gate.Dispatch {
+	dispatch, cleanUp := gate.NewDispatch(gate.Options{
+		Host:    s.Host,
+		Queue:   s.Limits.Queue,
+		Silence: silentBeats * s.Timing.BeatMs.Duration(),
+		Timeout: s.Timing.AskTimeoutMs.Duration(),
+		Peers:   mesh,
+		Books:   books,
+		Bases:   bases,
+		Dial: func(m view.Member) member.Control {
+			return member.NewLink(m.Address, member.Login{User: s.MemberUser, Password: s.MemberPassword, Dial: bytes.Dial(meter.Control, m.Region)})
+		},
+		Log: log,
+	})
+	onStop(lc, cleanUp)
+	return dispatch
 }
 
-func newHandler(s config.Settings, bases *ctrl.Bases, books *ctrl.Books, log *event.Log, g *guard.Guard, gates *gate.Local, leaving *leaving) chain.Handler {
+func newHandler(s config.Settings, bases *ctrl.Bases, books *ctrl.Books, log *event.Log, g *guard.Guard, gates *gate.Dispatch, leaving *leaving) chain.Handler {
 	return chain.New(chain.Options{
 		Bases:      bases,
 		Books:      books,
@@ -235,14 +252,15 @@
 }
 
 // joinMesh lets the proxy take frames of its peers.
-func joinMesh(lc fx.Lifecycle, mesh *peer.Mesh, books *ctrl.Books, bases *ctrl.Bases, f *front.Front) {
-	onStop(lc, mesh.Start(&handler{Books: books, Bases: bases, front: f}))
+func joinMesh(lc fx.Lifecycle, mesh *peer.Mesh, books *ctrl.Books, bases *ctrl.Bases, gates *gate.Dispatch, f *front.Front) {
+	onStop(lc, mesh.Start(&handler{Books: books, Bases: bases, Dispatch: gates, front: f}))
 }
 
 // handler takes what peers send.
 type handler struct {
 	*ctrl.Books
 	*ctrl.Bases
+	*gate.Dispatch
 	front *front.Front
 }
 
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -42,12 +42,12 @@
 	books    *ctrl.Books
 	bases    *ctrl.Bases
 	front    *front.Front
-	gates    *gate.Local
+	gates    *gate.Dispatch
 	mesh     *peer.Mesh
 	drained  *leaving
 }
 
-func newOperator(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, f *front.Front, gates *gate.Local, mesh *peer.Mesh, registry *prometheus.Registry, l *leaving) (*operator, error) {
+func newOperator(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, f *front.Front, gates *gate.Dispatch, mesh *peer.Mesh, registry *prometheus.Registry, l *leaving) (*operator, error) {
 	o := &operator{settings: s, books: books, bases: bases, front: f, gates: gates, mesh: mesh, drained: l}
 	listener, err := net.Listen("tcp", s.OperatorAddress)
 	if err != nil {
@@ -161,7 +161,7 @@
 			s.Databases = append(s.Databases, databaseStatus(base.View(), time.Now()))
 		}
 	}
-	for key, g := range o.gates.Gates() {
+	for key, g := range o.gates.Queues() {
 		free, waiting := g.Counts()
 		s.Queues = append(s.Queues, QueueStatus{Member: key, Free: free, Waiting: waiting})
 	}
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -179,7 +179,7 @@
 	if lost {
 		return nil, nil
 	}
-	return f.sortReaders(v, v.Readers(r.need)), nil
+	return f.sortReaders(v, r, v.Readers(r.need)), nil
 }
 
 func (f *filters) isLocalReplica(v view.View, m view.Member) bool {
@@ -188,9 +188,13 @@
 	return m.Region == f.Region && !isPrimary
 }
 
-// sortReaders puts members of the own data centre first, then those of the own
-// region; among equals, replicas before the primary.
-func (f *filters) sortReaders(v view.View, list []view.Member) []view.Member {
+// sortReaders puts members of the own region first, replicas before the primary,
+// then those of the own data centre. Among equals the callers take turns.
+func (f *filters) sortReaders(v view.View, r *Request, list []view.Member) []view.Member {
+	if n := uint64(len(list)); n > 0 {
+		turn := r.Caller.ID % n
+		list = slices.Concat(list[turn:], list[:turn])
+	}
 	slices.SortStableFunc(list, func(a, b view.Member) int { return f.distance(v, a) - f.distance(v, b) })
 	return list
 }
@@ -255,8 +259,8 @@
 	if r.Write() {
 		mode = member.ReadWrite
 	}
-	pool := f.Bases.Pool(r.Work.Database, m, mode)
-	conn, err := pool.Get(ctx)
+	pool := f.Bases.Pool(r.Work.Database, m)
+	conn, err := pool.Get(ctx, mode)
 	if err != nil {
 		done()
 		return nil, err
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -49,7 +49,6 @@
 type poolKey struct {
 	database string
 	address  string
-	mode     member.Mode
 }
 
 type ownedPool struct {
@@ -89,17 +88,16 @@
 	return names
 }
 
-// Pool returns the pool of connections of one mode to a member.
-func (b *Bases) Pool(database string, m view.Member, mode member.Mode) *member.Pool {
+// Pool returns the pool of connections to a member.
+func (b *Bases) Pool(database string, m view.Member) *member.Pool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := poolKey{database: database, address: m.Address, mode: mode}
+	key := poolKey{database: database, address: m.Address}
 	owned, found := b.pools[key]
 	if !found {
 		login := b.options.Login(m)
 		login.Database = database
-		limit := max(b.options.Connections/2, 1)
-		owned.pool, owned.stop = member.NewPool(m.Address, login, mode, limit, b.options.IdleCheck)
+		owned.pool, owned.stop = member.NewPool(m.Address, login, b.options.Connections, b.options.IdleCheck)
 		b.pools[key] = owned
 	}
 	return owned.pool
@@ -109,7 +107,6 @@
 type PoolCount struct {
 	Database string
 	Address  string
-	ReadOnly bool
 	Lent     int
 	Idle     int
 }
@@ -121,9 +118,7 @@
 	counts := make([]PoolCount, 0, len(b.pools))
 	for key, owned := range b.pools {
 		lent, idle := owned.pool.Counts()
-		counts = append(counts, PoolCount{
-			Database: key.database, Address: key.address, ReadOnly: key.mode == member.ReadOnly, Lent: lent, Idle: idle,
-		})
+		counts = append(counts, PoolCount{Database: key.database, Address: key.address, Lent: lent, Idle: idle})
 	}
 	return counts
 }
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -388,6 +388,10 @@
 	return c.order(ctx, func(l *lablog.Log) error { return l.Follow(term, leader, starts) })
 }
 
+func (c *fakeControl) Lead(ctx context.Context, _ string) (group.State, error) { return c.Ask(ctx) }
+
+func (c *fakeControl) Evict(ctx context.Context, _ string) (group.State, error) { return c.Ask(ctx) }
+
 // primaryServes tells whether the primary of the latest term runs, has promised
 // nothing later, and reaches most proxies and a majority of members.
 func (x *world) primaryServes() bool {
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -37,6 +37,9 @@
 	FenceAnswered    Event = 505
 	Promoted         Event = 506
 	PromotionFailed  Event = 507
+	DispatchBegun    Event = 508
+	DispatchEnded    Event = 509
+	DispatchEvicted  Event = 510
 	SheetInForce     Event = 601
 	SheetRefused     Event = 602
 	DatabasesChanged Event = 603
@@ -77,6 +80,9 @@
 	FenceAnswered:    {"fence-answered", logrus.WarnLevel},
 	Promoted:         {"promoted", logrus.WarnLevel},
 	PromotionFailed:  {"promotion-failed", logrus.ErrorLevel},
+	DispatchBegun:    {"dispatch-begun", logrus.InfoLevel},
+	DispatchEnded:    {"dispatch-ended", logrus.WarnLevel},
+	DispatchEvicted:  {"dispatch-evicted", logrus.WarnLevel},
 	SheetInForce:     {"sheet-in-force", logrus.InfoLevel},
 	SheetRefused:     {"sheet-refused", logrus.ErrorLevel},
 	DatabasesChanged: {"databases-changed", logrus.InfoLevel},
--- /dev/null
+++ b/internal/gate/dispatch.go
@@ -0,0 +1,282 @@
+package gate
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/pick"
+	"poplarrouter.example/poplarrouter/internal/slots"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+)
+
+// Peers reaches the other proxies.
+type Peers interface {
+	// Send offers a frame to a peer, and tells whether it was taken.
+	Send(host string, f peer.Frame) bool
+	// Heard returns when the last frame came from a peer.
+	Heard(host string) time.Time
+}
+
+var _ Peers = (*peer.Mesh)(nil)
+
+// Options are what a Dispatch depends on.
+type Options struct {
+	Host string
+	// Queue is how many requests may wait for each member.
+	Queue int
+	// Silence is how long a dispatcher must be silent before it is evicted.
+	Silence time.Duration
+	// Timeout ends a question to a member.
+	Timeout time.Duration
+	Peers   Peers
+	Books   *ctrl.Books
+	Bases   *ctrl.Bases
+	Dial    ctrl.Dialer
+	Log     *event.Log
+}
+
+// Dispatch gives out the slots of the members that this proxy leads, and asks
+// for those of the others.
+type Dispatch struct {
+	options Options
+
+	mu       sync.Mutex
+	stations map[string]*ownedStation
+	grants   map[grantKey]*grant
+	wants    map[uint64]chan peer.Grant
+	nextID   uint64
+	asking   duty.Group
+	ctx      context.Context //nolint:containedctx // ends the goroutines of remote requests with the dispatch
+}
+
+type ownedStation struct {
+	*station
+	stop func()
+}
+
+type grantKey struct {
+	host string
+	id   uint64
+}
+
+// grant is a slot, or a place in the queue, of a request of another proxy.
+type grant struct {
+	station string
+	cancel  context.CancelFunc
+	given   func()
+	at      time.Time
+}
+
+var _ chain.Slots = (*Dispatch)(nil)
+
+// NewDispatch starts the stations of all listed members, and returns the
+// dispatch with its clean-up function.
+func NewDispatch(options Options) (*Dispatch, func()) {
+	d := &Dispatch{
+		options:  options,
+		stations: make(map[string]*ownedStation),
+		grants:   make(map[grantKey]*grant),
+		wants:    make(map[uint64]chan peer.Grant),
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	d.ctx = ctx
+	stop := duty.Run(d.follow)
+	return d, func() {
+		stop()
+		cancel()
+		d.asking.Wait()
+	}
+}
+
+// follow is the duty that keeps a station for each listed member.
+func (d *Dispatch) follow(ctx context.Context) error {
+	defer d.stopAll()
+	for {
+		held, changed := d.options.Books.Watch()
+		for _, database := range held.Databases() {
+			for _, m := range database.Members {
+				d.station(database.Name, m)
+			}
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (d *Dispatch) stopAll() {
+	d.mu.Lock()
+	stations := d.stations
+	d.stations = make(map[string]*ownedStation)
+	d.mu.Unlock()
+	for _, s := range stations {
+		s.stop()
+	}
+}
+
+// station returns this proxy's part for a member, and starts it if need be. It
+// returns nil for a member that is not watched yet.
+func (d *Dispatch) station(database string, m view.Member) *station {
+	base, found := d.options.Bases.Base(database)
+	if !found {
+		return nil
+	}
+	listed, _ := d.options.Books.Book().Database(database)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	key := database + "/" + m.Name
+	owned, found := d.stations[key]
+	if found && owned.member.Address == m.Address {
+		return owned.station
+	}
+	if found {
+		go owned.stop()
+	}
+	s := &station{dispatch: d, database: database, member: m, base: base, gate: duty.NewCell[*Gate](nil), slots: max(listed.Slots, 1)}
+	d.stations[key] = &ownedStation{station: s, stop: duty.Run(s.run)}
+	return s
+}
+
+// place returns this proxy's place among the candidates to lead a member: the
+// live hosts of its region, or all if there are none, without a silent
+// dispatcher.
+func (d *Dispatch) place(key, region, dispatcher string) int {
+	var near, all []string
+	for _, h := range d.options.Books.Book().Hosts() {
+		if h.Leaving || h.Name == dispatcher {
+			continue
+		}
+		all = append(all, h.Name)
+		if h.Region == region {
+			near = append(near, h.Name)
+		}
+	}
+	if len(near) == 0 {
+		near = all
+	}
+	return pick.Place(key, d.options.Host, near)
+}
+
+// Queues returns the gates that this proxy leads, by database and member.
+func (d *Dispatch) Queues() map[string]*Gate {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	list := make(map[string]*Gate)
+	for key, s := range d.stations {
+		if g := s.gate.Load(); g != nil {
+			list[key] = g
+		}
+	}
+	return list
+}
+
+// Acquire implements chain.Slots. A request whose dispatcher changes while it
+// waits asks the next one.
+func (d *Dispatch) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (func(), error) {
+	s := d.station(database, m)
+	if s == nil {
+		return nil, fault.New(fault.Undispatched, "wait for slot", "database %q is not watched yet", database)
+	}
+	for {
+		release, err := d.acquireOnce(ctx, s, r)
+		if err == nil || fault.Of(err).Kind != fault.Undispatched || ctx.Err() != nil {
+			return release, err
+		}
+		if !s.awaitChange(ctx) {
+			return nil, err
+		}
+	}
+}
+
+func (d *Dispatch) acquireOnce(ctx context.Context, s *station, r *chain.Request) (func(), error) {
+	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Deadline}
+	if g := s.gate.Load(); g != nil {
+		return g.Acquire(ctx, work)
+	}
+	dispatcher := s.dispatcher()
+	if dispatcher == "" || dispatcher == d.options.Host {
+		return nil, fault.New(fault.Undispatched, "wait for slot", "no proxy gives out the slots of %s", s.key())
+	}
+	return d.acquireFrom(ctx, s, dispatcher, work)
+}
+
+// dispatcher returns the host that the member named as its dispatcher last.
+func (s *station) dispatcher() string {
+	report, _ := s.base.View().Report(s.member.Name)
+	return report.State.Dispatcher
+}
+
+// retryDelay is how long a request without a dispatcher waits at most before it
+// looks again.
+const retryDelay = 50 * time.Millisecond
+
+// awaitChange waits until the member's dispatch may have changed.
+func (s *station) awaitChange(ctx context.Context) bool {
+	_, led := s.gate.Watch()
+	select {
+	case <-led:
+	case <-time.After(retryDelay):
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// acquireFrom asks another proxy for a slot, for as long as it is the
+// dispatcher.
+func (d *Dispatch) acquireFrom(ctx context.Context, s *station, dispatcher string, w slots.Work) (func(), error) {
+	id, answer := d.newWant()
+	defer d.endWant(id)
+	want := peer.Want{ID: id, Database: s.database, Member: s.member.Name, Caller: w.Caller, Rank: w.Rank, Left: time.Until(w.Deadline)}
+	release := func() { d.options.Peers.Send(dispatcher, peer.Frame{Done: &peer.Done{ID: id}}) }
+	if !d.options.Peers.Send(dispatcher, peer.Frame{Want: &want}) {
+		return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s cannot be reached", dispatcher)
+	}
+	for {
+		v, changed := s.base.Watch()
+		if report, _ := v.Report(s.member.Name); report.State.Dispatcher != dispatcher {
+			release()
+			return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
+		}
+		select {
+		case g := <-answer:
+			if g.Given && s.dispatcher() != dispatcher {
+				// The next dispatcher may have given the slot to another.
+				release()
+				return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
+			}
+			if g.Given {
+				return release, nil
+			}
+			return nil, fault.New(g.Refusal, "wait for slot", "%s", g.Detail)
+		case <-changed:
+		case <-ctx.Done():
+			release()
+			return nil, fault.New(fault.Late, "wait for slot", "dispatcher %s gave no slot within the deadline", dispatcher)
+		}
+	}
+}
+
+func (d *Dispatch) newWant() (uint64, <-chan peer.Grant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.nextID++
+	answer := make(chan peer.Grant, 1)
+	d.wants[d.nextID] = answer
+	return d.nextID, answer
+}
+
+func (d *Dispatch) endWant(id uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	delete(d.wants, id)
+}
--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -50,6 +50,13 @@
 	changed  chan struct{}
 	sessions map[*session]struct{}
 	nextKey  uint32
+	// leader is the session whose host is the dispatcher of the slots.
+	leader     *session
+	dispatcher string
+	// wanting counts the statements that hold or wait for a slot, and peak is
+	// the highest count so far.
+	wanting int
+	peak    int
 }
 
 // New starts a member and returns it with its clean-up function.
@@ -97,7 +104,25 @@
 func (m *Member) State() group.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.log.State()
+	s := m.log.State()
+	s.Dispatcher, s.Active = m.dispatcher, len(m.slots)
+	return s
+}
+
+// Peak returns the highest number of statements that held or waited for a slot
+// at the same time.
+func (m *Member) Peak() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peak
+}
+
+// want counts a statement that wants a slot, or one that no longer does.
+func (m *Member) want(change int) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.wanting += change
+	m.peak = max(m.peak, m.wanting)
 }
 
 // order runs a change of the log under the lock and wakes those who wait.
--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -54,7 +54,14 @@
 }
 
 func (s *session) runOrder(ctx context.Context, c *command) error {
-	if c.name == "status" {
+	switch c.name {
+	case "status":
+		s.sendStatus()
+		return nil
+	case "lead":
+		return s.lead(c.arg(0))
+	case "evict":
+		s.member.evict(c.arg(0))
 		s.sendStatus()
 		return nil
 	}
@@ -89,14 +96,40 @@
 	return s.member.order(func(r *lablog.Log) error { return r.Follow(term, c.arg(1), starts) })
 }
 
+// lead makes a host the dispatcher of the member's slots while this session
+// lasts.
+func (s *session) lead(host string) error {
+	m := s.member
+	m.mu.Lock()
+	taken := m.leader != nil && m.leader != s
+	if !taken {
+		m.leader, m.dispatcher = s, host
+	}
+	m.mu.Unlock()
+	if taken {
+		return &lablog.OrderError{Order: "lead", Got: host, Want: "no other dispatcher"}
+	}
+	s.sendStatus()
+	return nil
+}
+
+func (m *Member) evict(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.leader != nil && m.dispatcher == host {
+		_ = m.leader.conn.Close()
+		m.leader, m.dispatcher = nil, ""
+	}
+}
+
 // sendStatus answers one row that describes the member.
 func (s *session) sendStatus() {
 	state := s.member.State()
 	cells := []any{
 		state.Role.String(), int64(state.Term), int64(state.Fence), int64(state.EntryTerm),
-		int64(state.Received), int64(state.Applied), group.FormatStarts(state.Starts),
+		int64(state.Received), int64(state.Applied), int64(state.Active), state.Dispatcher, group.FormatStarts(state.Starts),
 	}
-	names := []string{"role", "term", "fence", "entry_term", "received", "applied", "starts"}
+	names := []string{"role", "term", "fence", "entry_term", "received", "applied", "active", "dispatcher", "starts"}
 	s.backend.Send(&pgproto3.RowDescription{Fields: describeCells(names, cells, nil)})
 	s.sendRow(cells, nil)
 	s.complete("SELECT 1")
--- a/internal/labdb/run.go
+++ b/internal/labdb/run.go
@@ -226,6 +226,8 @@
 	if err := s.open(ctx); err != nil {
 		return err
 	}
+	s.member.want(1)
+	defer s.member.want(-1)
 	select {
 	case s.member.slots <- struct{}{}:
 	case <-ctx.Done():
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -141,6 +141,9 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.sessions, s)
+	if m.leader == s {
+		m.leader, m.dispatcher = nil, ""
+	}
 }
 
 func (m *Member) cancelSession(request *pgproto3.CancelRequest) {
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -12,10 +12,11 @@
 )
 
 // StatusQuery asks a member for its state. Its one row has the columns role,
-// term, fence, entry_term, received, applied and starts, in text form.
+// term, fence, entry_term, received, applied, active, dispatcher and starts, in
+// text form.
 const StatusQuery = "SELECT poplar_status()"
 
-const statusColumns = 7
+const statusColumns = 9
 
 // Control is what the proxy asks and orders of one member.
 type Control interface {
@@ -30,6 +31,11 @@
 	// Follow makes the member a replica of the primary of a term. It returns
 	// *RefusedError if the member has promised a later term. It is idempotent.
 	Follow(ctx context.Context, term group.Term, leader string, starts []group.Start) (group.State, error)
+	// Lead makes a host the dispatcher of the member's slots for as long as this
+	// connection lasts. It returns *RefusedError if another host is.
+	Lead(ctx context.Context, host string) (group.State, error)
+	// Evict ends the connection by which a host is the dispatcher, if it is.
+	Evict(ctx context.Context, host string) (group.State, error)
 	// Close ends the connection, if one is open.
 	Close()
 }
@@ -91,6 +97,16 @@
 	return l.query(ctx, fmt.Sprintf("SELECT poplar_follow(%d, '%s', '%s')", term, leader, group.FormatStarts(starts)))
 }
 
+// Lead implements Control.
+func (l *Link) Lead(ctx context.Context, host string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_lead('%s')", host))
+}
+
+// Evict implements Control.
+func (l *Link) Evict(ctx context.Context, host string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_evict('%s')", host))
+}
+
 // Close implements Control.
 func (l *Link) Close() {
 	if l.conn != nil {
@@ -146,7 +162,7 @@
 	default:
 		return group.State{}, &StatusError{Got: strconv.Quote(string(row[0])), Want: "primary or replica"}
 	}
-	var numbers [5]uint64
+	var numbers [6]uint64
 	for i := range numbers {
 		n, err := strconv.ParseUint(string(row[i+1]), 10, 64)
 		if err != nil {
@@ -156,6 +172,7 @@
 	}
 	s.Term, s.Fence, s.EntryTerm = group.Term(numbers[0]), group.Term(numbers[1]), group.Term(numbers[2])
 	s.Received, s.Applied = group.Position(numbers[3]), group.Position(numbers[4])
+	s.Active, s.Dispatcher = int(numbers[5]), string(row[statusColumns-2]) //nolint:gosec // a count of slots
 	starts, err := group.ParseStarts(string(row[statusColumns-1]))
 	if err != nil {
 		return group.State{}, err
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -67,6 +67,8 @@
 	Prepared map[string]struct{}
 
 	address string
+	mode    Mode
+	era     int
 	idled   time.Time
 	doubt   bool
 }
@@ -99,6 +101,7 @@
 		SecretKey: h.SecretKey,
 		Prepared:  make(map[string]struct{}),
 		address:   address,
+		mode:      mode,
 	}, nil
 }
 
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -8,52 +8,39 @@
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
-// Pool lends connections of one mode to one member. It holds at most a fixed
-// number of them, lent and idle together.
+// Pool lends connections to one member. It holds at most a fixed number of
+// them, of both modes, lent and idle together.
 type Pool struct {
 	address string
 	login   Login
-	mode    Mode
 	check   time.Duration
 	permits chan struct{}
 
 	mu     sync.Mutex
-	idle   []*Conn
-	lent   int
+	idle   map[Mode][]*Conn
+	open   int
 	closed bool
 	// era grows when the pool is found silent; connections of an earlier era
 	// are closed instead of reused.
-	era  int
-	eras map[*Conn]int
+	era int
 }
 
 // NewPool returns a pool of at most limit connections, and its clean-up
 // function. A connection that idled for longer than check is tried before reuse.
-func NewPool(address string, login Login, mode Mode, limit int, check time.Duration) (*Pool, func()) {
-	p := &Pool{
-		address: address,
-		login:   login,
-		mode:    mode,
-		check:   check,
-		permits: make(chan struct{}, limit),
-		eras:    make(map[*Conn]int),
-	}
+func NewPool(address string, login Login, limit int, check time.Duration) (*Pool, func()) {
+	p := &Pool{address: address, login: login, check: check, permits: make(chan struct{}, limit), idle: make(map[Mode][]*Conn)}
 	return p, p.close
 }
 
 // Get lends a connection. It waits for one until the context ends. No part of
 // any work has been sent when it fails, so its faults are all not run.
-func (p *Pool) Get(ctx context.Context) (*Conn, error) {
+func (p *Pool) Get(ctx context.Context, mode Mode) (*Conn, error) {
 	select {
 	case p.permits <- struct{}{}:
-	default:
-		select {
-		case p.permits <- struct{}{}:
-		case <-ctx.Done():
-			return nil, fault.Wrap(ctx.Err(), fault.Overloaded, "get connection", "all %d connections to the member are in use", cap(p.permits))
-		}
+	case <-ctx.Done():
+		return nil, fault.Wrap(ctx.Err(), fault.Overloaded, "get connection", "all %d connections to the member are in use", cap(p.permits))
 	}
-	c, err := p.open(ctx)
+	c, err := p.take(ctx, mode)
 	if err != nil {
 		<-p.permits
 		return nil, fault.Wrap(err, fault.Unreachable, "get connection", "no connection to member %s", p.address)
@@ -61,9 +48,10 @@
 	return c, nil
 }
 
-func (p *Pool) open(ctx context.Context) (*Conn, error) {
+// take finds an idle connection that still answers, or opens one.
+func (p *Pool) take(ctx context.Context, mode Mode) (*Conn, error) {
 	for {
-		c, found := p.pop()
+		c, found := p.pop(mode)
 		if !found {
 			break
 		}
@@ -73,29 +61,44 @@
 		p.forget(c)
 		p.Silent()
 	}
-	c, err := Dial(ctx, p.address, p.login, p.mode)
+	era := p.makeRoom()
+	c, err := Dial(ctx, p.address, p.login, mode)
 	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
 		return nil, err
 	}
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.lent++
-	p.eras[c] = p.era
+	c.era = era
 	return c, nil
 }
 
 // pop takes the connection that was returned last.
-func (p *Pool) pop() (*Conn, bool) {
+func (p *Pool) pop(mode Mode) (*Conn, bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	n := len(p.idle)
-	if n == 0 {
+	list := p.idle[mode]
+	if len(list) == 0 {
 		return nil, false
 	}
-	c := p.idle[n-1]
-	p.idle = p.idle[:n-1]
-	p.lent++
-	return c, true
+	p.idle[mode] = list[:len(list)-1]
+	return list[len(list)-1], true
+}
+
+// makeRoom counts a connection that is about to be opened, and closes an idle
+// one of the other mode if the pool is full. It returns the pool's era.
+func (p *Pool) makeRoom() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.open++
+	for mode, list := range p.idle {
+		if p.open > cap(p.permits) && len(list) > 0 {
+			_ = list[0].Close()
+			p.idle[mode] = list[1:]
+			p.open--
+		}
+	}
+	return p.era
 }
 
 const checkTimeout = 500 * time.Millisecond
@@ -116,11 +119,10 @@
 // outstanding.
 func (p *Pool) Put(c *Conn, clean bool) {
 	p.mu.Lock()
-	keep := clean && !c.doubt && !p.closed && p.eras[c] == p.era
+	keep := clean && !c.doubt && !p.closed && c.era == p.era
 	if keep {
 		c.idled = time.Now()
-		p.idle = append(p.idle, c)
-		p.lent--
+		p.idle[c.mode] = append(p.idle[c.mode], c)
 	}
 	p.mu.Unlock()
 	if !keep {
@@ -134,8 +136,7 @@
 	_ = c.Close()
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.lent--
-	delete(p.eras, c)
+	p.open--
 }
 
 // Silent tells the pool that one of its connections went silent. All idle ones
@@ -143,15 +144,14 @@
 // is replaced at once, one new connection for each request that needs one.
 func (p *Pool) Silent() {
 	p.mu.Lock()
-	idle := p.idle
-	p.idle = nil
+	defer p.mu.Unlock()
 	p.era++
-	for _, c := range idle {
-		delete(p.eras, c)
-	}
-	p.mu.Unlock()
-	for _, c := range idle {
-		_ = c.Close()
+	for mode, list := range p.idle {
+		for _, c := range list {
+			_ = c.Close()
+		}
+		p.open -= len(list)
+		delete(p.idle, mode)
 	}
 }
 
@@ -159,7 +159,10 @@
 func (p *Pool) Counts() (lent, idle int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.lent, len(p.idle)
+	for _, list := range p.idle {
+		idle += len(list)
+	}
+	return p.open - idle, idle
 }
 
 func (p *Pool) close() {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -14,12 +14,15 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // MaxFrame is the size in bytes of the largest frame: a document of the size
@@ -40,6 +43,35 @@
 	Ask       *Ask       `msgpack:",omitempty"`
 	Vote      *VoteFrame `msgpack:",omitempty"`
 	Cancel    *Cancel    `msgpack:",omitempty"`
+	Want      *Want      `msgpack:",omitempty"`
+	Grant     *Grant     `msgpack:",omitempty"`
+	Done      *Done      `msgpack:",omitempty"`
+}
+
+// Want asks a dispatcher for a slot of a member.
+type Want struct {
+	// ID names the request among those of the asking proxy.
+	ID       uint64
+	Database string
+	Member   string
+	Caller   string
+	Rank     sheet.Rank
+	// Left is the time until the deadline, since clocks differ.
+	Left time.Duration
+}
+
+// Grant answers a Want.
+type Grant struct {
+	ID uint64
+	// Given tells that the slot is given. Otherwise Refusal tells why not.
+	Given   bool
+	Refusal fault.Kind
+	Detail  string
+}
+
+// Done gives a slot back, or withdraws a Want.
+type Done struct {
+	ID uint64
 }
 
 // Challenge asks the opening side for a proof.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -32,6 +32,12 @@
 	Judge(database string, term group.Term) bool
 	// TakeVote takes another proxy's answer.
 	TakeVote(database string, v elect.Vote)
+	// TakeWant takes a request for a slot. The answer may come later.
+	TakeWant(host string, w Want, answer func(Grant))
+	// TakeGrant takes the answer to a request for a slot.
+	TakeGrant(host string, g Grant)
+	// TakeDone takes a slot back.
+	TakeDone(host string, d Done)
 	// Cancel cancels the request of a caller of this proxy, if it is one.
 	Cancel(processID uint32, secretKey []byte)
 }
@@ -73,6 +79,7 @@
 	hosts    map[string]book.Host
 	links    map[string]*link
 	inbound  map[net.Conn]struct{}
+	heard    map[string]time.Time
 	accepted duty.Group
 	closed   bool
 }
@@ -96,6 +103,7 @@
 		hosts:    make(map[string]book.Host),
 		links:    make(map[string]*link),
 		inbound:  make(map[net.Conn]struct{}),
+		heard:    make(map[string]time.Time),
 	}
 	return m, m.close, nil
 }
@@ -155,21 +163,20 @@
 	}
 }
 
-// send offers a frame to a peer, and opens the connection if there is none.
-func (m *Mesh) send(host string, f Frame) {
+// Send offers a frame to a peer, and opens the connection if there is none. It
+// tells whether the peer is known and had room for the frame.
+func (m *Mesh) Send(host string, f Frame) bool {
 	m.mu.Lock()
 	h, known := m.hosts[host]
 	m.mu.Unlock()
-	if known {
-		m.sendTo(h, f)
-	}
+	return known && m.sendTo(h, f)
 }
 
-func (m *Mesh) sendTo(h book.Host, f Frame) {
+func (m *Mesh) sendTo(h book.Host, f Frame) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if m.closed {
-		return
+		return false
 	}
 	l, found := m.links[h.Name]
 	if !found {
@@ -177,7 +184,7 @@
 		l.stop = duty.Run(func(ctx context.Context) error { return m.write(ctx, h, l) })
 		m.links[h.Name] = l
 	}
-	l.frames.Offer(f)
+	return l.frames.Offer(f)
 }
 
 // Neighbours returns the peers that this proxy sends heartbeats to.
@@ -195,7 +202,7 @@
 // few proxies of each other region, which spread it there.
 func (m *Mesh) Spread(doc book.Doc) {
 	for _, host := range m.spreadTargets(doc) {
-		m.send(host, Frame{Doc: &doc})
+		m.Send(host, Frame{Doc: &doc})
 	}
 }
 
@@ -222,14 +229,14 @@
 // AskWatchers implements ctrl.Watchers.
 func (m *Mesh) AskWatchers(database string, term group.Term, hosts []string) {
 	for _, host := range hosts {
-		m.send(host, Frame{Ask: &Ask{Database: database, Term: term}})
+		m.Send(host, Frame{Ask: &Ask{Database: database, Term: term}})
 	}
 }
 
 // Cancel passes a cancel request on to every neighbour.
 func (m *Mesh) Cancel(processID uint32, secretKey []byte) {
 	for _, host := range m.Neighbours() {
-		m.send(host, Frame{Cancel: &Cancel{ProcessID: processID, SecretKey: secretKey}})
+		m.Send(host, Frame{Cancel: &Cancel{ProcessID: processID, SecretKey: secretKey}})
 	}
 }
 
@@ -245,7 +252,7 @@
 		}
 		f := m.heartbeat()
 		for _, host := range m.Neighbours() {
-			m.send(host, f)
+			m.Send(host, f)
 		}
 		for _, address := range m.seeds() {
 			m.sendTo(book.Host{Name: address, PeerAddress: address}, f)
@@ -341,10 +348,24 @@
 		if err != nil {
 			return err
 		}
+		m.hear(host)
 		m.take(host, f, frames)
 	}
 }
 
+func (m *Mesh) hear(host string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.heard[host] = time.Now()
+}
+
+// Heard returns when the last frame came from a peer.
+func (m *Mesh) Heard(host string) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.heard[host]
+}
+
 func (m *Mesh) writeFrame(conn net.Conn, f Frame) error {
 	raw, err := Encode(f)
 	if err != nil {
@@ -486,6 +507,12 @@
 		vote := f.Vote.Vote
 		vote.From = host
 		m.handler.TakeVote(f.Vote.Database, vote)
+	case f.Want != nil:
+		m.handler.TakeWant(host, *f.Want, func(g Grant) { answers.Offer(Frame{Grant: &g}) })
+	case f.Grant != nil:
+		m.handler.TakeGrant(host, *f.Grant)
+	case f.Done != nil:
+		m.handler.TakeDone(host, *f.Done)
 	case f.Cancel != nil:
 		m.handler.Cancel(f.Cancel.ProcessID, f.Cancel.SecretKey)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -53,6 +53,10 @@
 func (k *keeper) Judge(string, group.Term) bool { return true }
 func (k *keeper) Cancel(uint32, []byte)         {}
 
+func (k *keeper) TakeWant(string, peer.Want, func(peer.Grant)) {}
+func (k *keeper) TakeGrant(string, peer.Grant)                 {}
+func (k *keeper) TakeDone(string, peer.Done)                   {}
+
 var _ peer.Handler = (*keeper)(nil)
 
 const beat = 20 * time.Millisecond
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -56,6 +56,8 @@
 	FloorLost
 	// Unreachable is work for which no connection to a member could be made.
 	Unreachable
+	// Undispatched is work for a member whose slots no proxy gives out.
+	Undispatched
 	// Severed is work whose connection ended before its answer was complete.
 	Severed
 	// Unconfirmed is a write that no majority confirmed in its own term.
@@ -72,19 +74,20 @@
 }
 
 var classes = [kinds]class{
-	Protocol:    {"08P01", NotRun, "protocol"},
-	Denied:      {"28000", NotRun, "denied"},
-	Unlisted:    {"PN001", NotRun, "unlisted"},
-	Leaving:     {"PN002", NotRun, "leaving"},
-	Overloaded:  {"PN003", NotRun, "overloaded"},
-	Late:        {"PN004", NotRun, "late"},
-	NoPrimary:   {"PN005", NotRun, "no-primary"},
-	NoReader:    {"PN006", NotRun, "no-reader"},
-	FloorLost:   {"PN007", NotRun, "floor-lost"},
-	Unreachable: {"PN008", NotRun, "unreachable"},
-	Severed:     {"PU001", Unknown, "severed"},
-	Unconfirmed: {"PU002", Unknown, "unconfirmed"},
-	Oversized:   {"PU003", Unknown, "oversized"},
+	Protocol:     {"08P01", NotRun, "protocol"},
+	Denied:       {"28000", NotRun, "denied"},
+	Unlisted:     {"PN001", NotRun, "unlisted"},
+	Leaving:      {"PN002", NotRun, "leaving"},
+	Overloaded:   {"PN003", NotRun, "overloaded"},
+	Late:         {"PN004", NotRun, "late"},
+	NoPrimary:    {"PN005", NotRun, "no-primary"},
+	NoReader:     {"PN006", NotRun, "no-reader"},
+	FloorLost:    {"PN007", NotRun, "floor-lost"},
+	Unreachable:  {"PN008", NotRun, "unreachable"},
+	Undispatched: {"PN009", NotRun, "undispatched"},
+	Severed:      {"PU001", Unknown, "severed"},
+	Unconfirmed:  {"PU002", Unknown, "unconfirmed"},
+	Oversized:    {"PU003", Unknown, "oversized"},
 }
 
 // Kinds returns all kinds in the order of their numbers.
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -109,6 +109,10 @@
 	Received Position
 	// Applied is the position that the member's reads see.
 	Applied Position
+	// Dispatcher is the host that gives out the member's slots, or empty.
+	Dispatcher string
+	// Active counts the slots in use.
+	Active int
 	// Starts lists the latest terms and the position after which the entries of
 	// each began, oldest first.
 	Starts []Start
