--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -9,6 +9,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/elect"
 	"poplarrouter.example/poplarrouter/internal/event"
@@ -60,7 +62,6 @@
 	mu       sync.Mutex
 	cuts     map[[2]string]bool
 	acks     []ack
-	lost     int
 	falsely  int
 	handover bool
 	doubled  bool
@@ -333,7 +334,8 @@
 }
 
 func refusal(name string, err error) error {
-	if _, refused := err.(*lablog.OrderError); refused {
+	var refused *lablog.OrderError
+	if errors.As(err, &refused) {
 		return &member.RefusedError{Member: name, Text: err.Error()}
 	}
 	return err
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -1,5 +1,14 @@
-// Package gate gives out the slots of one member to waiting requests, in the
-// order that package slots decides.
+// Package gate shares each member's slots among all proxies.
+//
+// One proxy, the dispatcher, gives out the slots of a member; the others ask it
+// over the peers' connections. Who is the dispatcher is decided by the member
+// itself: it is the proxy that holds the member's one leading connection, and
+// every proxy reads its name in the member's state. So no store and no election
+// takes part, a dispatcher that is cut off from its member cannot give out its
+// slots, and each member has a dispatcher in its own region.
+//
+// A Gate holds one member's queue, a station is a proxy's part for one member,
+// and a Dispatch holds all stations.
 package gate
 
 import (
@@ -19,6 +28,7 @@
 	nextID  uint64
 	waiting map[uint64]chan error
 	takes   time.Duration
+	closed  bool
 }
 
 // New returns a gate with so many slots, and room for limit waiting requests.
@@ -49,6 +59,32 @@
 	}
 }
 
+func errClosed() error {
+	return fault.New(fault.Undispatched, "wait for slot", "this proxy no longer gives out the member's slots")
+}
+
+// Close turns away all waiting work, now and later.
+func (g *Gate) Close() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.closed = true
+	for {
+		w, found := g.queue.Next()
+		if !found {
+			return
+		}
+		g.tell(w, errClosed())
+	}
+}
+
+// Add gives the gate more slots, such as those that were found to be free.
+func (g *Gate) Add(count int) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.free += count
+	g.hand(time.Now())
+}
+
 type ticket struct {
 	id     uint64
 	answer chan error
@@ -60,6 +96,10 @@
 	g.nextID++
 	w.ID = g.nextID
 	t := ticket{id: w.ID, answer: make(chan error, 1)}
+	if g.closed {
+		t.answer <- errClosed()
+		return t
+	}
 	g.waiting[w.ID] = t.answer
 	if out, full := g.queue.Add(w); full {
 		g.tell(out, fault.New(fault.Overloaded, "wait for slot", "the member's queue is full"))
--- a/internal/labset/bench_test.go
+++ b/internal/labset/bench_test.go
@@ -18,6 +18,7 @@
 
 const (
 	benchCallers = 16
+	benchText    = "SELECT 1"
 	benchTime    = 3 * time.Second
 	// idleCallers is as many as one process can hold both ends of, at two open
 	// files each.
@@ -42,7 +43,7 @@
 
 // drive sends a statement from so many callers at once, and returns how many
 // were answered in a second and the sorted times that each took.
-func drive(b *testing.B, url string, settings map[string]string, callers int, text string) (float64, []time.Duration) {
+func drive(b *testing.B, url string, settings map[string]string, callers int) (float64, []time.Duration) {
 	b.Helper()
 	config, err := pgx.ParseConfig(url)
 	if err != nil {
@@ -58,7 +59,7 @@
 	ends := time.Now().Add(benchTime)
 	for range callers {
 		running.Go(func() {
-			own, err := driveOne(config, text, ends)
+			own, err := driveOne(config, ends)
 			if err != nil {
 				failed.Add(1)
 			}
@@ -75,7 +76,7 @@
 	return float64(len(times)) / benchTime.Seconds(), times
 }
 
-func driveOne(config *pgx.ConnConfig, text string, ends time.Time) ([]time.Duration, error) {
+func driveOne(config *pgx.ConnConfig, ends time.Time) ([]time.Duration, error) {
 	ctx := context.Background()
 	conn, err := pgx.ConnectConfig(ctx, config)
 	if err != nil {
@@ -85,7 +86,7 @@
 	var times []time.Duration
 	for time.Now().Before(ends) {
 		began := time.Now()
-		if _, err := conn.Exec(ctx, text); err != nil {
+		if _, err := conn.Exec(ctx, benchText); err != nil {
 			return nil, err
 		}
 		times = append(times, time.Since(began))
@@ -96,7 +97,6 @@
 // BenchmarkProxyOverhead compares statements through a proxy with the same ones
 // sent to a member, in real time on the same cores.
 func BenchmarkProxyOverhead(b *testing.B) {
-	const text = "SELECT 1"
 	token := map[string]string{"poplarrouter.kind": "stock", "poplarrouter.floor": ""}
 	for name, settings := range map[string]map[string]string{"production": token, "production/barrier": stock} {
 		b.Run(name, func(b *testing.B) {
@@ -104,10 +104,10 @@
 			direct := "postgres://caller@" + set.Members()[1].Address() + "/stock?sslmode=disable"
 			readOnly := map[string]string{"options": "-c default_transaction_read_only=on"}
 			for b.Loop() {
-				directRate, _ := drive(b, direct, readOnly, benchCallers, text)
-				rate, _ := drive(b, set.URL(0), settings, benchCallers, text)
-				_, directTimes := drive(b, direct, readOnly, 1, text)
-				_, times := drive(b, set.URL(0), settings, 1, text)
+				directRate, _ := drive(b, direct, readOnly, benchCallers)
+				rate, _ := drive(b, set.URL(0), settings, benchCallers)
+				_, directTimes := drive(b, direct, readOnly, 1)
+				_, times := drive(b, set.URL(0), settings, 1)
 				b.ReportMetric(100*rate/directRate, "of-direct-%")
 				b.ReportMetric(rate, "statements/s")
 				b.ReportMetric(added(times, directTimes, 0.5), "added-p50-us")
