--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,101 @@
+package config_test
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/config"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+const valid = `{
+	"Host": "h", "DataCentre": "d", "Region": "r",
+	"CallerAddress": "127.0.0.1:1", "PeerAddress": "127.0.0.1:2", "OperatorAddress": "[::1]:3", "StoreAddress": "127.0.0.1:4",
+	"PeerSecret": "0123456789abcdef", "OperatorSecret": "0123456789abcdef"
+}`
+
+func TestDefaultsFillWhatAFileLeavesOut(t *testing.T) {
+	g := NewWithT(t)
+	s, err := config.Parse([]byte(valid))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Host).To(Equal("h"))
+	g.Expect(s.Timing).To(Equal(config.Default().Timing))
+}
+
+func TestAllFaultsAreListedByPath(t *testing.T) {
+	g := NewWithT(t)
+	_, err := config.Parse([]byte(strings.Replace(valid, `"Host": "h"`, `"Hots": "h", "Timing": {"PollMs": "soon", "Hurry": 1}, "Limits": {"Queue": null}`, 1)))
+	g.Expect(err).To(MatchError(strings.Join([]string{
+		`Hots: got an unknown key, want a key of the settings`,
+		`Limits.Queue: got null, want a whole number`,
+		`Timing.Hurry: got an unknown key, want a key of the settings`,
+		`Timing.PollMs: got "soon", want a whole number`,
+	}, "\n")))
+	_, err = config.Parse([]byte(strings.NewReplacer(`"h"`, `""`, "127.0.0.1:1", "localhost:1", "0123456789abcdef", "short",
+		`"Region": "r"`, `"Region": "r", "Limits": {"Queue": 0}, "Timing": {"SuspectMs": 300}`).Replace(valid)))
+	g.Expect(err).To(MatchError(strings.Join([]string{
+		`Host: got nothing, want a name`,
+		`CallerAddress: got "localhost:1", want an IP number and a port`,
+		`PeerSecret: got 5 characters, want at least 16 characters`,
+		`OperatorSecret: got 5 characters, want at least 16 characters`,
+		`Limits.Queue: got 0, want a number above 0`,
+		`Timing.SuspectMs: got 300, want at least twice Timing.PollMs`,
+	}, "\n")))
+	_, err = config.Parse([]byte("{"))
+	g.Expect(err).To(MatchError(ContainSubstring("settings: got")))
+}
+
+// TestExamples checks the settings, sheets and documents of both users.
+func TestExamples(t *testing.T) {
+	root := filepath.Join("..", "..", "examples")
+	for _, user := range []string{"perecpont", "magnolia"} {
+		files, err := filepath.Glob(filepath.Join(root, user, "*.json"))
+		if err != nil || len(files) < 3 {
+			t.Fatal("the examples are missing", err)
+		}
+		for _, file := range files {
+			t.Run(filepath.Join(user, filepath.Base(file)), func(t *testing.T) { checkExample(t, file) })
+		}
+		t.Run(user+"/sheet", func(t *testing.T) { checkSheet(t, filepath.Join(root, user)) })
+	}
+}
+
+func checkExample(t *testing.T, file string) {
+	g := NewWithT(t)
+	raw, err := os.ReadFile(file)
+	g.Expect(err).NotTo(HaveOccurred())
+	switch filepath.Base(file) {
+	case "databases.json":
+		_, err = book.Read(book.Databases, raw)
+	case "hosts.json":
+		_, err = book.Read(book.Hosts, raw)
+	default:
+		_, err = config.Parse(raw)
+	}
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
+// checkSheet holds a user's sheet against the databases that it names.
+func checkSheet(t *testing.T, dir string) {
+	g := NewWithT(t)
+	file, err := os.Open(filepath.Join(dir, "sheet.csv"))
+	g.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = file.Close() }()
+	s, err := sheet.Parse(file)
+	g.Expect(err).NotTo(HaveOccurred())
+	raw, err := os.ReadFile(filepath.Join(dir, "databases.json"))
+	g.Expect(err).NotTo(HaveOccurred())
+	var doc book.DatabasesDoc
+	g.Expect(json.Unmarshal(raw, &doc)).To(Succeed())
+	var names []string
+	for _, d := range doc.Databases {
+		names = append(names, d.Name)
+	}
+	g.Expect(s.Databases()).To(ConsistOf(names))
+}
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -41,6 +41,8 @@
 	Store    store.Store
 	Dial     Dialer
 	Log      *event.Log
+	// Replaced is told of a primary that gave way to another, unless it is nil.
+	Replaced func(database string, was view.Member)
 }
 
 // Base watches one database.
@@ -213,6 +215,9 @@
 	b.options.Log.Emit(event.PrimaryChanged, event.Fields{
 		"Database": b.name, "Was": b.primary, "Primary": r.Member, "Term": r.State.Term,
 	})
+	if was, known := v.Member(b.primary); known && b.options.Replaced != nil {
+		b.options.Replaced(b.name, was)
+	}
 	b.primary = r.Member
 }
 
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -8,6 +8,7 @@
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/pick"
 	"poplarrouter.example/poplarrouter/internal/view"
@@ -59,6 +60,7 @@
 // NewBases starts the controller and returns it with its clean-up function.
 func NewBases(options BasesOptions) (*Bases, func()) {
 	b := &Bases{options: options, bases: make(map[string]*served), pools: make(map[poolKey]ownedPool)}
+	b.options.Base.Replaced = b.sever
 	stop := duty.Run(b.follow)
 	return b, func() {
 		stop()
@@ -103,6 +105,18 @@
 	return owned.pool
 }
 
+// severDelay leaves the answers of a replaced primary that are under way time to
+// arrive.
+const severDelay = 500 * time.Millisecond
+
+// sever ends the work that is still on a primary that was replaced.
+func (b *Bases) sever(database string, was view.Member) {
+	time.AfterFunc(severDelay, func() {
+		severed := b.Pool(database, was).Sever()
+		b.options.Base.Log.Emit(event.WorkSevered, event.Fields{"Database": database, "Member": was.Name, "Connections": severed})
+	})
+}
+
 // PoolCount is the use of one pool.
 type PoolCount struct {
 	Database string
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -18,6 +18,7 @@
 
 	mu     sync.Mutex
 	idle   map[Mode][]*Conn
+	lent   map[*Conn]struct{}
 	open   int
 	closed bool
 	// era grows when the pool is found silent; connections of an earlier era
@@ -28,7 +29,7 @@
 // NewPool returns a pool of at most limit connections, and its clean-up
 // function. A connection that idled for longer than check is tried before reuse.
 func NewPool(address string, login Login, limit int, check time.Duration) (*Pool, func()) {
-	p := &Pool{address: address, login: login, check: check, permits: make(chan struct{}, limit), idle: make(map[Mode][]*Conn)}
+	p := &Pool{address: address, login: login, check: check, permits: make(chan struct{}, limit), idle: make(map[Mode][]*Conn), lent: make(map[*Conn]struct{})}
 	return p, p.close
 }
 
@@ -45,6 +46,9 @@
 		<-p.permits
 		return nil, fault.Wrap(err, fault.Unreachable, "get connection", "no connection to member %s", p.address)
 	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.lent[c] = struct{}{}
 	return c, nil
 }
 
@@ -119,6 +123,7 @@
 // outstanding.
 func (p *Pool) Put(c *Conn, clean bool) {
 	p.mu.Lock()
+	delete(p.lent, c)
 	keep := clean && !c.doubt && !p.closed && c.era == p.era
 	if keep {
 		c.idled = time.Now()
@@ -155,6 +160,21 @@
 	}
 }
 
+// Sever closes every connection that is lent for writes, so that work on a
+// member that is no longer the primary ends with an unknown outcome at once.
+func (p *Pool) Sever() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	severed := 0
+	for c := range p.lent {
+		if c.mode == ReadWrite {
+			_ = c.Close()
+			severed++
+		}
+	}
+	return severed
+}
+
 // Counts returns how many connections are lent and idle.
 func (p *Pool) Counts() (lent, idle int) {
 	p.mu.Lock()
--- /dev/null
+++ b/internal/view/view_test.go
@@ -0,0 +1,116 @@
+package view_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+var start = time.Unix(1000, 0)
+
+func at(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+
+func members() []view.Member { return []view.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}} }
+
+func primary(term group.Term, position group.Position) group.State {
+	return group.State{Role: group.Primary, Term: term, Received: position, Applied: position, Starts: []group.Start{{Term: 1}, {Term: 2, Position: 10}}[:term]}
+}
+
+func replica(term group.Term, received, applied group.Position) group.State {
+	s := primary(term, received)
+	s.Role, s.Applied = group.Replica, applied
+	return s
+}
+
+func fenced(s group.State) group.State {
+	s.Fence = s.Term + 1
+	return s
+}
+
+func heard(v view.View, name string, askedMs int, s group.State) view.View {
+	return v.WithReport(view.Report{Member: name, Asked: at(askedMs), Heard: at(askedMs + 1), State: s})
+}
+
+func TestConfirmNeedsAMajorityInTheTerm(t *testing.T) {
+	g := NewWithT(t)
+	write := group.Floor{Term: 1, Position: 5}
+	v := heard(view.New("d", members()), "a", 0, primary(1, 5))
+	g.Expect(v.Confirm("a", write)).To(Equal(view.Waiting))
+	g.Expect(heard(v, "b", 1, replica(1, 4, 4)).Confirm("a", write)).To(Equal(view.Waiting))
+	g.Expect(heard(v, "b", 1, replica(1, 5, 0)).Confirm("a", write)).To(Equal(view.Held))
+	g.Expect(heard(v, "b", 1, fenced(replica(1, 5, 5))).Confirm("a", write)).To(Equal(view.Waiting), "a fenced member confirms nothing")
+	gone := heard(heard(v, "b", 1, replica(2, 11, 11)), "c", 1, fenced(replica(1, 5, 5)))
+	g.Expect(gone.Confirm("a", write)).To(Equal(view.Doubtful))
+}
+
+func TestBarrierNeedsQuestionsSentAfterTheRead(t *testing.T) {
+	g := NewWithT(t)
+	v := heard(heard(view.New("d", members()), "a", 10, primary(1, 7)), "b", 12, replica(1, 7, 7))
+	floor, proven := v.Barrier(at(10))
+	g.Expect(proven).To(BeTrue())
+	g.Expect(floor).To(Equal(group.Floor{Term: 1, Position: 7}))
+	_, proven = v.Barrier(at(11))
+	g.Expect(proven).To(BeFalse(), "the primary was asked before")
+	// A primary alone proves nothing: it may have been replaced.
+	_, proven = heard(view.New("d", members()), "a", 10, primary(1, 7)).Barrier(at(0))
+	g.Expect(proven).To(BeFalse())
+	v = heard(heard(view.New("d", members()), "a", 10, primary(1, 7)), "b", 12, fenced(replica(1, 7, 7)))
+	_, proven = v.Barrier(at(0))
+	g.Expect(proven).To(BeFalse(), "the other member has promised a later term")
+}
+
+func TestReadersHaveAppliedTheFloor(t *testing.T) {
+	g := NewWithT(t)
+	names := func(list []view.Member) []string {
+		var out []string
+		for _, m := range list {
+			out = append(out, m.Name)
+		}
+		return out
+	}
+	v := heard(heard(heard(view.New("d", members()), "a", 0, primary(1, 9)), "b", 0, replica(1, 9, 8)), "c", 0, replica(1, 9, 5))
+	g.Expect(names(v.Readers(group.Floor{Term: 1, Position: 8}))).To(Equal([]string{"b", "a"}))
+	g.Expect(names(v.Readers(group.Floor{Term: 1, Position: 3}))).To(Equal([]string{"b", "c", "a"}))
+	g.Expect(names(v.WithSilence("b").Readers(group.Floor{}))).To(Equal([]string{"c", "a"}))
+	leaving := v.WithMembers([]view.Member{{Name: "a"}, {Name: "b", Leaving: true}, {Name: "c"}})
+	g.Expect(names(leaving.Readers(group.Floor{}))).To(Equal([]string{"c", "a"}))
+}
+
+func TestAgedTakesTheOldestPointThatIsFreshEnough(t *testing.T) {
+	g := NewWithT(t)
+	v := view.New("d", members())
+	for i := range 10 {
+		position := group.Position(i)
+		v = heard(heard(v, "a", 200*i, primary(1, position)), "b", 200*i, replica(1, position, position))
+	}
+	floor, proven := v.Aged(at(900))
+	g.Expect(proven).To(BeTrue())
+	g.Expect(floor.Position).To(Equal(group.Position(5)), "proven at 1000 ms")
+	_, proven = v.Aged(at(1801))
+	g.Expect(proven).To(BeFalse())
+}
+
+func TestALostTailIsToldOnlyByTheLatestTerm(t *testing.T) {
+	g := NewWithT(t)
+	lost := group.Floor{Term: 1, Position: 12}
+	v := heard(view.New("d", members()), "a", 0, primary(1, 12))
+	g.Expect(v.Fate(lost)).To(Equal(group.Covered))
+	v = heard(v, "b", 1, primary(2, 11))
+	g.Expect(v.Fate(lost)).To(Equal(group.Lost))
+	g.Expect(v.Fate(group.Floor{Term: 1, Position: 10})).To(Equal(group.Covered))
+	m, writable := v.Writable()
+	g.Expect(writable).To(BeTrue())
+	g.Expect(m.Name).To(Equal("b"), "the primary of the latest term")
+}
+
+func TestAnOlderAnswerChangesNothing(t *testing.T) {
+	g := NewWithT(t)
+	v := heard(heard(view.New("d", members()), "a", 10, primary(1, 9)), "a", 5, primary(1, 4))
+	r, _ := v.Report("a")
+	g.Expect(r.State.Received).To(Equal(group.Position(9)))
+	g.Expect(heard(v, "stranger", 20, primary(2, 99)).Term()).To(Equal(group.Term(1)))
+}
