--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -84,6 +84,7 @@
 	log    lablog.Log
 	up     bool
 	resume chan struct{}
+	lag    time.Duration
 }
 
 type fakeProxy struct {
@@ -223,6 +224,7 @@
 			done <- result{err: deadError{}}
 			return
 		}
+		m.catchUp(time.Now())
 		err := operation(&m.log)
 		done <- result{state: m.log.State(), err: err}
 	})
@@ -234,6 +236,25 @@
 	}
 }
 
+// catchUp applies the entries that are older than the member's lag. The lock
+// must be held.
+func (m *fakeMember) catchUp(now time.Time) {
+	entries := m.log.Entries
+	for m.log.Applied < len(entries) && (m.lag == 0 || !now.Before(entries[m.log.Applied].Arrived.Add(m.lag))) {
+		m.log.Applied++
+	}
+	m.log.Applied = min(m.log.Applied, len(entries))
+	if m.log.State().Role == group.Primary {
+		m.log.Applied = len(entries)
+	}
+}
+
+func (m *fakeMember) setLag(lag time.Duration) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.lag = lag
+}
+
 func (m *fakeMember) freeze() {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -266,6 +287,7 @@
 func (m *fakeMember) state() group.State {
 	m.mu.Lock()
 	defer m.mu.Unlock()
+	m.catchUp(time.Now())
 	return m.log.State()
 }
 
@@ -299,9 +321,7 @@
 		return
 	}
 	_, _ = m.do(ctx, func(l *lablog.Log) error {
-		err := l.Store(leader.name, term, from, entries, time.Now())
-		l.Applied = len(l.Entries)
-		return err
+		return l.Store(leader.name, term, from, entries, time.Now())
 	})
 }
 
--- a/internal/lablog/lablog.go
+++ b/internal/lablog/lablog.go
@@ -21,7 +21,7 @@
 	Term       group.Term
 	Statements []Statement
 
-	// Arrived is when a replica received the entry. It is not replicated.
+	// Arrived is when the member stored the entry. It is not replicated.
 	Arrived time.Time `msgpack:"-"`
 }
 
@@ -140,7 +140,7 @@
 	if err := r.Writable(); err != nil {
 		return err
 	}
-	r.Entries = append(r.Entries, Entry{Term: r.term, Statements: statements})
+	r.Entries = append(r.Entries, Entry{Term: r.term, Statements: statements, Arrived: time.Now()})
 	return nil
 }
 
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -37,6 +37,8 @@
 type Options struct {
 	Members int
 	Proxies int
+	// Apart puts the last third of members and proxies into a second region.
+	Apart bool
 	// Log receives the logs of all proxies.
 	Log io.Writer
 	// Member holds the options of each member but its addresses.
@@ -170,7 +172,7 @@
 	d := book.Database{Name: Database, Slots: 5, Connections: 60}
 	for i, m := range s.members {
 		d.Members = append(d.Members, view.Member{
-			Name: fmt.Sprintf("member-%d", i+1), Address: m.Address(), DataCentre: "dc-1", Region: "region-1",
+			Name: fmt.Sprintf("member-%d", i+1), Address: m.Address(), DataCentre: "dc-1", Region: s.region(i, len(s.members)),
 		})
 	}
 	return book.DatabasesDoc{Serial: serial, Databases: []book.Database{d}}
@@ -225,12 +227,20 @@
 
 func (s *Set) settings(i int) (config.Settings, error) {
 	c, err := SettingsOf(fmt.Sprintf("host-%d", i+1), s.address)
+	c.Region = s.region(i, s.options.Proxies)
 	if err == nil && s.options.Settings != nil {
 		s.options.Settings(&c)
 	}
 	return c, err
 }
 
+func (s *Set) region(i, of int) string {
+	if s.options.Apart && i >= of*2/3 {
+		return "region-2"
+	}
+	return "region-1"
+}
+
 // SettingsOf returns the settings of a proxy of the set beside the store at the
 // given address.
 func SettingsOf(host, storeAddress string) (config.Settings, error) {
