Fewer and smaller questions to members

Causes: a question for a member's state took 283 bytes, most of them the description of nine columns; while requests waited, all members were asked every millisecond, also those over the link that no majority needed; replicas far away were asked as often as near ones.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -162,6 +162,7 @@
 	bases, cleanUp := ctrl.NewBases(ctrl.BasesOptions{
 		Base: ctrl.BaseOptions{
 			Host:     s.Host,
+			Region:   s.Region,
 			Rules:    elect.RulesFor(s.Timing.SuspectMs.Duration()),
 			Poll:     s.Timing.PollMs.Duration(),
 			Timeout:  s.Timing.AskTimeoutMs.Duration(),
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -110,7 +110,10 @@
 	if r.Answer.Status != wire.Idle || r.Answer.Completed == 0 {
 		return nil
 	}
-	state, err := member.ParseState(row)
+	if len(row) != 1 {
+		return fault.New(fault.Unconfirmed, "confirm", "member %s told no position behind the write", r.Lease.Member.Name)
+	}
+	state, err := member.ParseState(string(row[0]))
 	if err != nil || state.Role != group.Primary {
 		return fault.Wrap(err, fault.Unconfirmed, "confirm", "member %s told no position behind the write", r.Lease.Member.Name)
 	}
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -34,6 +34,7 @@
 // BaseOptions are what a Base depends on.
 type BaseOptions struct {
 	Host     string
+	Region   string
 	Rules    elect.Rules
 	Poll     time.Duration
 	Timeout  time.Duration
@@ -247,7 +248,11 @@
 }
 
 func (b *Base) pokeAll() {
-	for _, p := range b.pollers {
+	v := b.View()
+	for name, p := range b.pollers {
+		if !v.Needed(name, b.options.Region) {
+			continue
+		}
 		select {
 		case p.poke <- struct{}{}:
 		default:
@@ -287,10 +292,8 @@
 	control := b.options.Dial(m)
 	defer control.Close()
 	for ctx.Err() == nil {
-		pause := b.options.Poll
-		if b.ask(ctx, control, m) && b.waiting.Load() > 0 {
-			pause = askSpacing
-		}
+		b.ask(ctx, control, m)
+		pause := b.pauseFor(m)
 		select {
 		case <-poke:
 		case <-time.After(pause):
@@ -300,20 +303,42 @@
 	return nil
 }
 
-func (b *Base) ask(ctx context.Context, control member.Control, m view.Member) bool {
+// farPeriods is how many periods lie between questions to a replica in another
+// region while no one waits for its answer.
+const farPeriods = 4
+
+// pauseFor returns the pause before the next question to a member. While
+// requests wait, only the members that a majority needs are asked often; the
+// rest would cost bytes over the link for nothing.
+func (b *Base) pauseFor(m view.Member) time.Duration {
+	v := b.View()
+	if v.Silent(m.Name) {
+		return b.options.Poll
+	}
+	if b.waiting.Load() > 0 && v.Needed(m.Name, b.options.Region) {
+		return askSpacing
+	}
+	primary, found := v.Primary()
+	if m.Region != b.options.Region && found && primary.Member != m.Name {
+		return farPeriods * b.options.Poll
+	}
+	return b.options.Poll
+}
+
+func (b *Base) ask(ctx context.Context, control member.Control, m view.Member) {
 	askCtx, cancel := context.WithTimeout(ctx, b.options.Timeout)
 	defer cancel()
 	asked := time.Now()
 	state, err := control.Ask(askCtx)
 	if ctx.Err() != nil {
-		return false
+		return
 	}
 	if err != nil {
 		control.Close()
 		b.inputs.Offer(input{silence: m.Name})
-		return false
+		return
 	}
-	return b.inputs.Offer(input{report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
+	b.inputs.Offer(input{report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
 }
 
 // carryOut starts what the machine asks for. Results come back as inputs.
--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -10,6 +10,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"poplarrouter.example/poplarrouter/internal/lablog"
+	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -124,14 +125,10 @@
 
 // sendStatus answers one row that describes the member.
 func (s *session) sendStatus() {
-	state := s.member.State()
-	cells := []any{
-		state.Role.String(), int64(state.Term), int64(state.Fence), int64(state.EntryTerm),
-		int64(state.Received), int64(state.Applied), int64(state.Active), state.Dispatcher, group.FormatStarts(state.Starts),
-	}
-	names := []string{"role", "term", "fence", "entry_term", "received", "applied", "active", "dispatcher", "starts"}
-	s.backend.Send(&pgproto3.RowDescription{Fields: describeCells(names, cells, nil)})
-	s.sendRow(cells, nil)
+	if !s.extendedly {
+		s.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field("state", oidText, 0)}})
+	}
+	s.sendRow([]any{member.FormatState(s.member.State())}, nil)
 	s.complete("SELECT 1")
 }
 
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -37,8 +37,11 @@
 	readOnly bool
 	cancel   context.CancelFunc
 
-	deferring bool
-	deferred  string
+	// extendedly tells that an extended message is run, whose columns were
+	// described before.
+	extendedly bool
+	deferring  bool
+	deferred   string
 
 	prepared map[string]string
 	portals  map[string]portal
@@ -201,8 +204,9 @@
 	case *pgproto3.Describe:
 		return s.describe(ctx, msg)
 	case *pgproto3.Execute:
-		p := s.portals[msg.Portal]
-		return s.run(ctx, p, false)
+		s.extendedly = true
+		defer func() { s.extendedly = false }()
+		return s.run(ctx, s.portals[msg.Portal], false)
 	case *pgproto3.Close:
 		if msg.ObjectType == 'S' {
 			delete(s.prepared, msg.Name)
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -1,9 +1,11 @@
 package member
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"strconv"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -11,12 +13,13 @@
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
-// StatusQuery asks a member for its state. Its one row has the columns role,
-// term, fence, entry_term, received, applied, active, dispatcher and starts, in
-// text form.
+// StatusQuery asks a member for its state. Its one row has one column, a text of
+// words: role, term, fence, entry term, received, applied, active, dispatcher
+// ("-" for none) and the starts of terms ("-" for none). One short column keeps
+// the answer small, since it is asked for often.
 const StatusQuery = "SELECT poplar_status()"
 
-const statusColumns = 9
+const statusWords = 9
 
 // Control is what the proxy asks and orders of one member.
 type Control interface {
@@ -68,6 +71,7 @@
 	address string
 	login   Login
 	conn    *pgconn.PgConn
+	status  *pgconn.StatementDescription
 }
 
 var _ Control = (*Link)(nil)
@@ -77,9 +81,26 @@
 	return &Link{address: address, login: login}
 }
 
-// Ask implements Control.
+// Ask implements Control. The question is prepared once for each connection, so
+// that its answer comes without a description.
 func (l *Link) Ask(ctx context.Context) (group.State, error) {
-	return l.query(ctx, StatusQuery)
+	if err := l.connect(ctx); err != nil {
+		return group.State{}, err
+	}
+	if l.status == nil {
+		prepared, err := l.conn.Prepare(ctx, "s", StatusQuery, nil)
+		if err != nil {
+			l.Close()
+			return group.State{}, err
+		}
+		l.status = prepared
+	}
+	result := l.conn.ExecStatement(ctx, l.status, nil, nil, nil).Read()
+	if result.Err != nil {
+		l.Close()
+		return group.State{}, result.Err
+	}
+	return oneState(result)
 }
 
 // Fence implements Control.
@@ -113,7 +134,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		cancel()
 		_ = l.conn.Close(ctx)
-		l.conn = nil
+		l.conn, l.status = nil, nil
 	}
 }
 
@@ -130,10 +151,17 @@
 		l.Close()
 		return group.State{}, err
 	}
-	if len(results) != 1 || len(results[0].Rows) != 1 {
-		return group.State{}, &StatusError{Got: "no row", Want: "one row"}
+	if len(results) != 1 {
+		return group.State{}, &StatusError{Got: fmt.Sprintf("%d results", len(results)), Want: "one"}
 	}
-	return ParseState(results[0].Rows[0])
+	return oneState(results[0])
+}
+
+func oneState(result *pgconn.Result) (group.State, error) {
+	if len(result.Rows) != 1 || len(result.Rows[0]) != 1 {
+		return group.State{}, &StatusError{Got: "no row", Want: "one row of one column"}
+	}
+	return ParseState(string(result.Rows[0][0]))
 }
 
 func (l *Link) connect(ctx context.Context) error {
@@ -148,35 +176,45 @@
 	return err
 }
 
-// ParseState reads the row that StatusQuery answers.
-func ParseState(row [][]byte) (group.State, error) {
-	if len(row) != statusColumns {
-		return group.State{}, &StatusError{Got: fmt.Sprintf("%d columns", len(row)), Want: fmt.Sprint(statusColumns)}
+// none stands for an empty word in a state's text.
+const none = "-"
+
+// FormatState writes a state as members answer it.
+func FormatState(s group.State) string {
+	return fmt.Sprintf("%s %d %d %d %d %d %d %s %s", s.Role, s.Term, s.Fence, s.EntryTerm, s.Received, s.Applied, s.Active,
+		cmp.Or(s.Dispatcher, none), cmp.Or(group.FormatStarts(s.Starts), none))
+}
+
+// ParseState reads what FormatState writes.
+func ParseState(text string) (group.State, error) {
+	words := strings.Fields(text)
+	if len(words) != statusWords {
+		return group.State{}, &StatusError{Got: fmt.Sprintf("%d words", len(words)), Want: fmt.Sprint(statusWords)}
 	}
-	var s group.State
-	switch string(row[0]) {
+	s := group.State{Dispatcher: strings.TrimPrefix(words[7], none)}
+	switch words[0] {
 	case "primary":
 		s.Role = group.Primary
 	case "replica":
 		s.Role = group.Replica
 	default:
-		return group.State{}, &StatusError{Got: strconv.Quote(string(row[0])), Want: "primary or replica"}
+		return group.State{}, &StatusError{Got: strconv.Quote(words[0]), Want: "primary or replica"}
 	}
 	var numbers [6]uint64
 	for i := range numbers {
-		n, err := strconv.ParseUint(string(row[i+1]), 10, 64)
+		n, err := strconv.ParseUint(words[i+1], 10, 63)
 		if err != nil {
-			return group.State{}, &StatusError{Got: strconv.Quote(string(row[i+1])), Want: "a number"}
+			return group.State{}, &StatusError{Got: strconv.Quote(words[i+1]), Want: "a number"}
 		}
 		numbers[i] = n
 	}
 	s.Term, s.Fence, s.EntryTerm = group.Term(numbers[0]), group.Term(numbers[1]), group.Term(numbers[2])
 	s.Received, s.Applied = group.Position(numbers[3]), group.Position(numbers[4])
-	s.Active, s.Dispatcher = int(numbers[5]), string(row[statusColumns-2]) //nolint:gosec // a count of slots
-	starts, err := group.ParseStarts(string(row[statusColumns-1]))
-	if err != nil {
-		return group.State{}, err
+	s.Active = int(numbers[5]) //nolint:gosec // parsed as 63 bits
+	if words[8] == none {
+		return s, nil
 	}
+	starts, err := group.ParseStarts(words[8])
 	s.Starts = starts
-	return s, nil
+	return s, err
 }
--- a/internal/view/decide.go
+++ b/internal/view/decide.go
@@ -1,6 +1,7 @@
 package view
 
 import (
+	"slices"
 	"time"
 
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -53,6 +54,32 @@
 	}
 }
 
+// Needed tells whether a member is one of those that must be asked to learn more
+// soon: the primary, and besides it the nearest members that answer, as many as
+// make a majority with it. With no primary known, every member is needed.
+func (v View) Needed(member, region string) bool {
+	primary, found := v.Primary()
+	if !found || primary.State.Fenced() || v.silent[primary.Member] || primary.Member == member {
+		return true
+	}
+	var others []Member
+	for _, m := range v.members {
+		if m.Name != primary.Member && !v.silent[m.Name] {
+			others = append(others, m)
+		}
+	}
+	slices.SortStableFunc(others, func(a, b Member) int { return far(a, region) - far(b, region) })
+	place := slices.IndexFunc(others, func(m Member) bool { return m.Name == member })
+	return place >= 0 && place < group.Majority(len(v.members))-1
+}
+
+func far(m Member, region string) int {
+	if m.Region == region {
+		return 0
+	}
+	return 1
+}
+
 // Barrier returns a floor that covers every write acknowledged before the given
 // time, or false if no question sent since then has proven one.
 func (v View) Barrier(since time.Time) (group.Floor, bool) {
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -114,3 +114,17 @@
 	g.Expect(r.State.Received).To(Equal(group.Position(9)))
 	g.Expect(heard(v, "stranger", 20, primary(2, 99)).Term()).To(Equal(group.Term(1)))
 }
+
+func TestNeededAreThePrimaryAndTheNearestOfAMajority(t *testing.T) {
+	g := NewWithT(t)
+	v := view.New("d", []view.Member{{Name: "a", Region: "far"}, {Name: "b", Region: "far"}, {Name: "c", Region: "near"}})
+	g.Expect(v.Needed("b", "near")).To(BeTrue(), "no primary is known yet")
+	v = heard(heard(heard(v, "a", 0, primary(1, 1)), "b", 0, replica(1, 1, 1)), "c", 0, replica(1, 1, 1))
+	needed := func(v view.View, region string) []bool {
+		return []bool{v.Needed("a", region), v.Needed("b", region), v.Needed("c", region)}
+	}
+	g.Expect(needed(v, "near")).To(Equal([]bool{true, false, true}))
+	g.Expect(needed(v, "far")).To(Equal([]bool{true, true, false}))
+	g.Expect(needed(v.WithSilence("c"), "near")).To(Equal([]bool{true, true, false}))
+	g.Expect(needed(v.WithSilence("a"), "near")).To(Equal([]bool{true, true, true}), "the primary may have been replaced")
+}
