--- a/internal/ctrl/failover_test.go
+++ b/internal/ctrl/failover_test.go
@@ -69,7 +69,7 @@
 
 func freezeProxyOrders(x *world, d time.Duration) {
 	for _, p := range x.proxies[:5] {
-		p.stall = d
+		p.setStall(d)
 	}
 }
 
@@ -96,7 +96,7 @@
 			x.members[0].setUp(false)
 		}, heal: func(x *world) { x.store.SetMute(false) }},
 		{name: "kill-with-doubled-orders", begin: func(x *world) {
-			x.doubled = true
+			x.setDoubled(true)
 			x.members[0].setUp(false)
 		}, heal: nothing},
 		{name: "kill-twice", begin: func(x *world) {
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,6 +31,9 @@
 	nearDelay   = 500 * time.Microsecond
 	farDelay    = 30 * time.Millisecond
 	shipPeriod  = 2 * time.Millisecond
+	// fetchTime stands for a replica that gives up a silent primary, or one that
+	// it no longer follows.
+	fetchTime   = 150 * time.Millisecond
 	writePeriod = 25 * time.Millisecond
 	writeWait   = 2 * time.Second
 	confirmWait = 5 * time.Second
@@ -65,7 +69,7 @@
 	acks     []ack
 	falsely  int
 	handover bool
-	doubled  bool
+	doubled  atomic.Bool
 	running  sync.WaitGroup
 }
 
@@ -93,9 +97,13 @@
 	region string
 	base   *ctrl.Base
 	stop   func()
-	stall  time.Duration
+	stall  atomic.Int64
 }
 
+func (p *fakeProxy) setStall(d time.Duration) { p.stall.Store(int64(d)) }
+
+func (x *world) setDoubled(is bool) { x.doubled.Store(is) }
+
 func regionOf(i, of int) string {
 	if i < of*2/3 {
 		return "Budapest"
@@ -306,7 +314,7 @@
 }
 
 func (m *fakeMember) fetch(ctx context.Context, leader *fakeMember, term group.Term, from int) {
-	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	ctx, cancel := context.WithTimeout(ctx, fetchTime)
 	defer cancel()
 	if m.world.travel(ctx, m.name, m.region, leader.name, leader.region) != nil {
 		return
@@ -364,7 +372,7 @@
 
 // order calls the member with an order that may come late or twice.
 func (c *fakeControl) order(ctx context.Context, operation func(*lablog.Log) error) (group.State, error) {
-	if stall := c.proxy.stall; stall > 0 {
+	if stall := time.Duration(c.proxy.stall.Load()); stall > 0 {
 		late := context.WithoutCancel(ctx)
 		c.proxy.world.running.Go(func() {
 			pause(late, stall)
@@ -373,7 +381,7 @@
 		<-ctx.Done()
 		return group.State{}, ctx.Err()
 	}
-	if c.proxy.world.doubled {
+	if c.proxy.world.doubled.Load() {
 		late := context.WithoutCancel(ctx)
 		c.proxy.world.running.Go(func() {
 			pause(late, 700*time.Millisecond)
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -36,7 +36,7 @@
 func New(w io.Writer) (*Log, func()) {
 	logger := logrus.New()
 	logger.SetOutput(w)
-	logger.SetFormatter(&logrus.JSONFormatter{FieldMap: logrus.FieldMap{
+	logger.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00", FieldMap: logrus.FieldMap{
 		logrus.FieldKeyTime:  "Time",
 		logrus.FieldKeyLevel: "Level",
 		logrus.FieldKeyMsg:   "Name",
--- a/internal/labdb/follow.go
+++ b/internal/labdb/follow.go
@@ -8,6 +8,7 @@
 	"github.com/jackc/pgx/v5/pgconn"
 	"github.com/vmihailenco/msgpack/v5"
 
+	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/lablog"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -19,7 +20,11 @@
 	for ctx.Err() == nil {
 		leader, term, follows := m.following()
 		if follows {
-			_ = m.fetchFrom(ctx, leader, term)
+			fetchCtx, cancel := context.WithCancel(ctx)
+			watching := duty.Start(fetchCtx, func(ctx context.Context) error { return m.untilUnfollowed(ctx, cancel, leader, term) })
+			_ = m.fetchFrom(fetchCtx, leader, term)
+			cancel()
+			<-watching
 		}
 		select {
 		case <-time.After(retryDelay):
@@ -29,6 +34,22 @@
 	return ctx.Err()
 }
 
+// untilUnfollowed ends a fetch once the member is told to follow another primary.
+func (m *Member) untilUnfollowed(ctx context.Context, cancel func(), leader string, term group.Term) error {
+	for ctx.Err() == nil {
+		m.mu.Lock()
+		now, in, follows := m.log.Following()
+		changed := m.changed
+		m.mu.Unlock()
+		if !follows || now != leader || in != term {
+			cancel()
+			return nil
+		}
+		wait(ctx, changed)
+	}
+	return nil
+}
+
 func (m *Member) following() (string, group.Term, bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/labset/path_test.go
+++ b/internal/labset/path_test.go
@@ -206,6 +206,18 @@
 		Expect(count(ctx, connect(ctx, set, 1, stock))).To(BeNumerically(">=", acknowledged))
 	}, SpecTimeout(time.Minute))
 
+	It("leaves a read that was sent with an unknown outcome, when no other member can be reached", func(ctx SpecContext) {
+		set := startSet(ctx, labset.Options{Members: 3, Proxies: 1})
+		conn := connect(ctx, set, 0, stock)
+		ended := make(chan error, 1)
+		go func() { _, err := conn.Exec(ctx, "SELECT pg_sleep(20)"); ended <- err }()
+		Eventually(func() int { return set.Members()[1].State().Active + set.Members()[2].State().Active }).Should(Equal(1))
+		for i := range set.Members() {
+			set.StopMember(i)
+		}
+		Expect(<-ended).To(haveState("PU001"))
+	}, SpecTimeout(time.Minute))
+
 	It("is changed as planned without a refused write", func(ctx SpecContext) {
 		set := startSet(ctx, labset.Options{Members: 3, Proxies: 2})
 		conn := connect(ctx, set, 0, order)
