--- a/cmd/poplarlab/parts.go
+++ b/cmd/poplarlab/parts.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
 	"flag"
 	"fmt"
 	"net/http"
@@ -13,7 +12,6 @@
 
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/cli"
-	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/labdb"
 	"poplarrouter.example/poplarrouter/internal/labkv"
 )
@@ -99,23 +97,3 @@
 	f.DurationVar(&o.ApplyLag, "apply-lag", 0, "time that a replica waits before it applies an entry")
 	f.DurationVar(&o.ServiceTime, "service-time", 0, "least time that a statement holds its slot")
 }
-
-func verifierCommand() *cli.Command {
-	return &cli.Command{
-		CommandName: "verifier",
-		Summary:     "print the verifier of a password for a sheet's Secret column",
-		Text:        "poplarlab verifier PASSWORD",
-		Run: func(_ context.Context, args []string) error {
-			if len(args) != 1 {
-				return &cli.UsageError{Detail: "want one password"}
-			}
-			const iterations = 4096
-			v, err := front.Verifier(args[0], rand.Text(), iterations)
-			if err != nil {
-				return err
-			}
-			fmt.Println(v)
-			return nil
-		},
-	}
-}
--- a/cmd/poplarrouter/sheet.go
+++ b/cmd/poplarrouter/sheet.go
@@ -1,16 +1,22 @@
 package main
 
 import (
+	"bufio"
 	"context"
+	"crypto/rand"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"slices"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/cli"
+	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -33,7 +39,8 @@
 		Text: "poplarrouter sheet check FILE\n" +
 			"poplarrouter sheet -store IP:PORT -operator NAME load FILE\n" +
 			"poplarrouter sheet -store IP:PORT show\n" +
-			"poplarrouter sheet -store IP:PORT diff FILE",
+			"poplarrouter sheet -store IP:PORT diff FILE\n" +
+			"poplarrouter sheet verifier\n  Reads a password from standard input and prints its verifier for the Secret column.",
 		Flags: func(set *flag.FlagSet) {
 			set.StringVar(&f.store, "store", "", "the store's IP and port")
 			set.StringVar(&f.operator, "operator", os.Getenv("USER"), "the operator's name, told to others who load a sheet")
@@ -49,9 +56,11 @@
 	switch verb {
 	case "check":
 		return checkSheet(file)
+	case "verifier":
+		return printVerifier(os.Stdin)
 	case "load", "show", "diff":
 	default:
-		return &cli.UsageError{Detail: fmt.Sprintf("got %q, want check, load, show or diff", verb)}
+		return &cli.UsageError{Detail: fmt.Sprintf("got %q, want check, load, show, diff or verifier", verb)}
 	}
 	if f.store == "" {
 		return &cli.UsageError{Detail: "got no -store, want the store's IP and port"}
@@ -75,6 +84,26 @@
 	return ""
 }
 
+// scramIterations is the cost of a verifier, as PostgreSQL's own default.
+const scramIterations = 4096
+
+func printVerifier(in io.Reader) error {
+	line, err := bufio.NewReader(in).ReadString('\n')
+	if err != nil && !errors.Is(err, io.EOF) {
+		return err
+	}
+	password := strings.TrimRight(line, "\r\n")
+	if password == "" {
+		return &cli.UsageError{Detail: "got no password on standard input"}
+	}
+	v, err := front.Verifier(password, rand.Text(), scramIterations)
+	if err != nil {
+		return err
+	}
+	fmt.Println(v)
+	return nil
+}
+
 func checkSheet(file string) error {
 	raw, err := os.ReadFile(file)
 	if err != nil {
--- /dev/null
+++ b/internal/ctrl/poll.go
@@ -0,0 +1,110 @@
+package ctrl
+
+import (
+	"context"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/view"
+)
+
+// poller is the duty that asks one member.
+type poller struct {
+	poke chan struct{}
+	stop func()
+}
+
+func (b *Base) pokeAll() {
+	v := b.View()
+	for name, p := range b.pollers {
+		if !v.Needed(name, b.options.Region) {
+			continue
+		}
+		select {
+		case p.poke <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// startPollers starts a duty for each member that has none, and ends those of
+// members that are gone.
+func (b *Base) startPollers(members []view.Member) {
+	known := make(map[string]bool)
+	for _, m := range members {
+		known[m.Name] = true
+		if _, found := b.pollers[m.Name]; found {
+			continue
+		}
+		p := poller{poke: make(chan struct{}, 1)}
+		p.stop = duty.Run(func(ctx context.Context) error { return b.pollMember(ctx, m, p.poke) })
+		b.pollers[m.Name] = p
+	}
+	for name, p := range b.pollers {
+		if !known[name] {
+			p.stop()
+			delete(b.pollers, name)
+		}
+	}
+}
+
+func (b *Base) stopPollers() {
+	for _, p := range b.pollers {
+		p.stop()
+	}
+}
+
+// pollMember is the duty that asks one member for its state.
+func (b *Base) pollMember(ctx context.Context, m view.Member, poke <-chan struct{}) error {
+	control := b.options.Dial(m)
+	defer control.Close()
+	for ctx.Err() == nil {
+		b.ask(ctx, control, m)
+		pause := b.pauseFor(m)
+		select {
+		case <-poke:
+		case <-time.After(pause):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+// farPeriods is how many periods lie between questions to a replica in another
+// region while no one waits for its answer.
+const farPeriods = 4
+
+// pauseFor returns the pause before the next question to a member. While
+// requests wait, only the members that a majority needs are asked often; the
+// rest would cost bytes over the link for nothing.
+func (b *Base) pauseFor(m view.Member) time.Duration {
+	v := b.View()
+	if v.Silent(m.Name) {
+		return b.options.Poll
+	}
+	if b.waiting.Load() > 0 && v.Needed(m.Name, b.options.Region) {
+		return askSpacing
+	}
+	primary, found := v.Primary()
+	if m.Region != b.options.Region && found && primary.Member != m.Name {
+		return farPeriods * b.options.Poll
+	}
+	return b.options.Poll
+}
+
+func (b *Base) ask(ctx context.Context, control member.Control, m view.Member) {
+	askCtx, cancel := context.WithTimeout(ctx, b.options.Timeout)
+	defer cancel()
+	asked := time.Now()
+	state, err := control.Ask(askCtx)
+	if ctx.Err() != nil {
+		return
+	}
+	if err != nil {
+		control.Close()
+		b.inputs.Offer(input{silence: m.Name})
+		return
+	}
+	b.inputs.Offer(input{report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
+}
--- /dev/null
+++ b/internal/elect/attempt.go
@@ -0,0 +1,191 @@
+package elect
+
+import (
+	"maps"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// successor returns the member to which the place of a leaving primary is to be
+// handed over: of those that stay and answer, the one with the longest log. Only
+// the first watcher acts; if it is dead, the hosts' list will name another.
+func (m Machine) successor(now time.Time, v view.View) (string, bool) {
+	primary, found := v.Primary()
+	if !found || now.Before(m.rest) {
+		return "", false
+	}
+	if leader, _ := v.Member(primary.Member); !leader.Leaving {
+		return "", false
+	}
+	best := ""
+	var bestLog group.Floor
+	for _, member := range v.Members() {
+		r, heard := v.Report(member.Name)
+		if !heard || member.Leaving || v.Silent(member.Name) || r.State.Term != primary.State.Term {
+			continue
+		}
+		if best == "" || bestLog.Less(r.State.Log()) {
+			best, bestLog = member.Name, r.State.Log()
+		}
+	}
+	return best, best != "" && m.place == 0
+}
+
+func (m Machine) handOver(now time.Time, v view.View, target string) (Machine, []Action) {
+	m.stage, m.since, m.term, m.target = Claiming, now, v.Term(), target
+	return m, []Action{{ClaimTerm: &ClaimTerm{After: v.Fence()}}}
+}
+
+func (m Machine) claiming(now time.Time, v view.View, e Event) (Machine, []Action) {
+	if e.Claimed == nil {
+		if now.Sub(m.since) < m.rules.Attempt {
+			return m, nil
+		}
+		return m.retreat(now.Add(m.rules.Repoll), ClaimLost)
+	}
+	if !e.Claimed.Won {
+		pause := m.rules.Repoll
+		if e.Claimed.Conflict {
+			pause = m.rules.Attempt
+		}
+		return m.retreat(now.Add(pause), ClaimLost)
+	}
+	m.stage, m.since, m.claim = Fencing, now, e.Claimed.Claim
+	m.fenced, m.answered = make(map[string]group.State), make(map[string]bool)
+	won := Note{Kind: ClaimWon, Term: m.claim.Term}
+	actions := []Action{{Note: &won}}
+	if primary, found := v.Primary(); found && m.target != "" {
+		return m, append(actions, m.fence(primary.Member))
+	}
+	return m, append(actions, m.fenceRest(v)...)
+}
+
+func (m Machine) fence(member string) Action {
+	return Action{Fence: &Order{Member: member, Claim: m.claim}}
+}
+
+// fenceRest fences every member that has not answered yet.
+func (m Machine) fenceRest(v view.View) []Action {
+	var actions []Action
+	for _, member := range v.Members() {
+		if !m.answered[member.Name] {
+			actions = append(actions, m.fence(member.Name))
+		}
+	}
+	return actions
+}
+
+// retreat ends an attempt and rests until the given time. The next attempt
+// claims a later term.
+func (m Machine) retreat(until time.Time, kind NoteKind) (Machine, []Action) {
+	note := Note{Kind: kind, Term: max(m.claim.Term, m.term), Member: m.chosen}
+	m.rest = until
+	return m.idle(), []Action{{Note: &note}}
+}
+
+// giveUp ends an attempt whose orders went unanswered.
+func (m Machine) giveUp(now time.Time) (Machine, []Action) {
+	return m.retreat(now.Add(time.Duration(max(m.place, 0))*m.rules.Stagger), AttemptFailed)
+}
+
+func (m Machine) fencing(now time.Time, v view.View, e Event) (Machine, []Action) {
+	if a := e.Answer; a != nil && a.Term == m.claim.Term {
+		if a.Refused {
+			return m.retreat(now.Add(m.rules.Attempt), AttemptFailed)
+		}
+		m = m.withAnswer(now, v, *a)
+	}
+	if now.Sub(m.since) >= m.rules.Attempt {
+		return m.giveUp(now)
+	}
+	if m.target != "" && !m.caughtUp && len(m.fenced) > 0 {
+		return m.handing(v)
+	}
+	all := len(m.answered) == len(v.Members())
+	if m.majority.IsZero() || (!all && now.Sub(m.majority) < m.rules.Grace) {
+		return m, nil
+	}
+	m.stage, m.chosen = Choosing, m.longest(v)
+	return m, []Action{{Promote: &Order{Member: m.chosen, Claim: m.claim}}}
+}
+
+// withAnswer records a member's promise, or that it gave no answer.
+func (m Machine) withAnswer(now time.Time, v view.View, a Answer) Machine {
+	m.answered = maps.Clone(m.answered)
+	m.answered[a.Member] = true
+	if a.Failed {
+		return m
+	}
+	m.fenced = maps.Clone(m.fenced)
+	m.fenced[a.Member] = a.State
+	if m.majority.IsZero() && len(m.fenced) >= group.Majority(len(v.Members())) {
+		m.majority = now
+	}
+	return m
+}
+
+// handing waits, with the old primary fenced, until the target has received all
+// of its log; then it fences the other members.
+func (m Machine) handing(v view.View) (Machine, []Action) {
+	target, heard := v.Report(m.target)
+	if !heard {
+		return m, nil
+	}
+	for _, s := range m.fenced {
+		if target.State.Log().Less(s.Log()) {
+			return m, nil
+		}
+	}
+	m.caughtUp = true
+	return m, m.fenceRest(v)
+}
+
+// longest returns the fenced member with the longest log. Of equal ones it
+// prefers the target of a handover, then the primary so far, then the first in
+// the database's list that is not leaving.
+func (m Machine) longest(v view.View) string {
+	best, bestRank := "", 0
+	for _, member := range v.Members() {
+		s, found := m.fenced[member.Name]
+		if !found {
+			continue
+		}
+		rank := m.preference(v, member)
+		log := m.fenced[best].Log()
+		if best == "" || log.Less(s.Log()) || (log == s.Log() && rank > bestRank) {
+			best, bestRank = member.Name, rank
+		}
+	}
+	return best
+}
+
+func (m Machine) preference(v view.View, member view.Member) int {
+	primary, found := v.Primary()
+	switch {
+	case member.Name == m.target:
+		return 3
+	case found && primary.Member == member.Name && m.target == "":
+		return 2
+	case !member.Leaving:
+		return 1
+	default:
+		return 0
+	}
+}
+
+func (m Machine) choosing(now time.Time, e Event) (Machine, []Action) {
+	if a := e.Answer; a != nil && a.Member == m.chosen && a.Term == m.claim.Term && !a.Failed {
+		if a.Refused {
+			return m.retreat(now.Add(m.rules.Attempt), AttemptFailed)
+		}
+		if a.State.Role == group.Primary && a.State.Term == m.claim.Term {
+			return m.retreat(now.Add(m.rules.Attempt), MemberPromoted)
+		}
+	}
+	if now.Sub(m.since) >= m.rules.Attempt {
+		return m.giveUp(now)
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/peer/conn.go
@@ -0,0 +1,227 @@
+package peer
+
+import (
+	"context"
+	"crypto/hmac"
+	"crypto/rand"
+	"crypto/sha256"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/meter"
+)
+
+// write is the duty that keeps the connection to one peer and sends its frames.
+func (m *Mesh) write(ctx context.Context, h book.Host, l *link) error {
+	select {
+	case <-m.started:
+	case <-ctx.Done():
+		return nil
+	}
+	for ctx.Err() == nil {
+		err := m.writeConn(ctx, h, l)
+		if err != nil && ctx.Err() == nil {
+			m.options.Log.Emit(event.PeerLeft, event.Fields{"Peer": h.Name, "Cause": err.Error()})
+		}
+		select {
+		case <-time.After(m.options.Beat):
+		case <-ctx.Done():
+		}
+	}
+	return nil
+}
+
+func (m *Mesh) writeConn(ctx context.Context, h book.Host, l *link) error {
+	d := net.Dialer{Timeout: m.options.Timeout}
+	conn, err := d.DialContext(ctx, "tcp", h.PeerAddress)
+	if err != nil {
+		return err
+	}
+	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
+	defer func() { _ = conn.Close() }()
+	host, err := m.greet(conn)
+	if err != nil {
+		return err
+	}
+	m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": host})
+	l.frames.Offer(m.heartbeat())
+	return m.converse(ctx, conn, host, l.frames, 0)
+}
+
+// converse sends the frames of a ring and takes those of the peer, until either
+// way fails. A silence of more than deaf ends it too, if deaf is above 0.
+func (m *Mesh) converse(ctx context.Context, conn net.Conn, host string, frames *duty.Ring[Frame], deaf time.Duration) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	reading := duty.Start(ctx, func(context.Context) error {
+		defer cancel()
+		return m.read(conn, host, frames, deaf)
+	})
+	err := m.drainRing(ctx, conn, frames)
+	_ = conn.Close()
+	return errors.CombineErrors(<-reading, err)
+}
+
+func (m *Mesh) drainRing(ctx context.Context, conn net.Conn, frames *duty.Ring[Frame]) error {
+	for {
+		select {
+		case f := <-frames.Items():
+			if err := m.writeFrame(conn, f); err != nil {
+				return err
+			}
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+func (m *Mesh) read(conn net.Conn, host string, frames *duty.Ring[Frame], deaf time.Duration) error {
+	if err := conn.SetReadDeadline(time.Time{}); err != nil {
+		return err
+	}
+	for {
+		if deaf > 0 {
+			if err := conn.SetReadDeadline(time.Now().Add(deaf)); err != nil {
+				return err
+			}
+		}
+		f, err := Decode(conn, MaxFrame)
+		if err != nil {
+			return err
+		}
+		m.hear(host)
+		m.take(host, f, frames)
+	}
+}
+
+func (m *Mesh) writeFrame(conn net.Conn, f Frame) error {
+	raw, err := Encode(f)
+	if err != nil {
+		return err
+	}
+	if err := conn.SetWriteDeadline(time.Now().Add(m.options.Timeout)); err != nil {
+		return err
+	}
+	_, err = conn.Write(raw)
+	return err
+}
+
+// greet answers the challenge of the accepting side and checks its proof. It
+// returns the peer's name.
+func (m *Mesh) greet(conn net.Conn) (string, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(m.options.Timeout)); err != nil {
+		return "", err
+	}
+	f, err := Decode(conn, maxGreeting)
+	if err != nil {
+		return "", err
+	}
+	if f.Challenge == nil || len(f.Challenge.Nonce) != nonceBytes {
+		return "", &FrameError{Got: "another frame", Want: "a challenge"}
+	}
+	nonce := newNonce()
+	hello := Hello{Host: m.options.Host, Nonce: nonce, Proof: m.proof(f.Challenge.Nonce, "hello", m.options.Host)}
+	if err := m.writeFrame(conn, Frame{Hello: &hello}); err != nil {
+		return "", err
+	}
+	f, err = Decode(conn, maxGreeting)
+	if err != nil {
+		return "", err
+	}
+	if f.Welcome == nil || !hmac.Equal(f.Welcome.Proof, m.proof(nonce, "welcome", f.Welcome.Host)) {
+		return "", &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
+	}
+	return f.Welcome.Host, nil
+}
+
+func newNonce() []byte {
+	nonce := make([]byte, nonceBytes)
+	_, _ = rand.Read(nonce)
+	return nonce
+}
+
+// proof binds a nonce to the side that answers it, so that a proof cannot be
+// sent back to the one who asked for it.
+func (m *Mesh) proof(nonce []byte, side, host string) []byte {
+	mac := hmac.New(sha256.New, []byte(m.options.Secret))
+	mac.Write(nonce)
+	mac.Write([]byte(side))
+	mac.Write([]byte{0})
+	mac.Write([]byte(host))
+	return mac.Sum(nil)
+}
+
+// accept is the duty that takes connections from peers.
+func (m *Mesh) accept(ctx context.Context) error {
+	for {
+		conn, err := m.listener.Accept()
+		if err != nil {
+			return err
+		}
+		if !m.admit(conn) {
+			_ = conn.Close()
+			return nil
+		}
+		m.accepted.Go(ctx, func(ctx context.Context) error {
+			defer m.release(conn)
+			return m.serve(ctx, conn)
+		})
+	}
+}
+
+func (m *Mesh) admit(conn net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.inbound[conn] = struct{}{}
+	return !m.closed
+}
+
+func (m *Mesh) release(conn net.Conn) {
+	_ = conn.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.inbound, conn)
+}
+
+func (m *Mesh) serve(ctx context.Context, conn net.Conn) error {
+	host, err := m.challenge(conn)
+	if err != nil {
+		m.options.Log.Emit(event.PeerDenied, event.Fields{"Address": conn.RemoteAddr().String(), "Cause": err.Error()})
+		return err
+	}
+	deaf := deafBeats*m.options.Beat + m.options.Timeout
+	conn = m.options.Meter.Wrap(conn, meter.Peer, m.regionOf(host))
+	return m.converse(ctx, conn, host, duty.NewRing[Frame](sendRing), deaf)
+}
+
+func (m *Mesh) regionOf(host string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.hosts[host].Region
+}
+
+// challenge makes the opening side prove that it holds the secret, and proves
+// the same to it. It returns the peer's name.
+func (m *Mesh) challenge(conn net.Conn) (string, error) {
+	nonce := newNonce()
+	if err := conn.SetReadDeadline(time.Now().Add(m.options.Timeout)); err != nil {
+		return "", err
+	}
+	if err := m.writeFrame(conn, Frame{Challenge: &Challenge{Nonce: nonce}}); err != nil {
+		return "", err
+	}
+	f, err := Decode(conn, maxGreeting)
+	if err != nil {
+		return "", err
+	}
+	if f.Hello == nil || !hmac.Equal(f.Hello.Proof, m.proof(nonce, "hello", f.Hello.Host)) {
+		return "", &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
+	}
+	welcome := Welcome{Host: m.options.Host, Proof: m.proof(f.Hello.Nonce, "welcome", m.options.Host)}
+	return f.Hello.Host, m.writeFrame(conn, Frame{Welcome: &welcome})
+}
