A caller that does not read, and a listener that fails, hold nothing up

Causes, found by reading: an answer was written to the caller without a deadline, so that one that stopped reading held a member's connection and slot for ever; a failed accept (too many open files) ended the listening duty, and with it the proxy's service, while the process lived on; every request that waited for a grant woke with every answer of a member. Change: writes to a caller end with the request's deadline and grace; a failed accept is followed by a pause that doubles; requests wait on the dispatcher's name alone.

--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -61,6 +61,8 @@
 		limit = f.HeldBytes
 	}
 	r.Out.Begin()
+	r.Out.SetDeadline(r.Deadline.Add(answerGrace))
+	defer r.Out.SetDeadline(time.Time{})
 	answer, err := wire.Relay(l.Frontend, r.Out, plan, l.Prepared, limit)
 	r.Answer = answer
 	if err != nil {
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -94,10 +94,6 @@
 // View returns what is known of the database.
 func (b *Base) View() view.View { return b.cell.Load() }
 
-// Watch returns what is known of the database and a channel that closes when
-// that changes. Unlike Await it does not make the members be asked more often.
-func (b *Base) Watch() (view.View, <-chan struct{}) { return b.cell.Watch() }
-
 // SetMembers replaces the list of members.
 func (b *Base) SetMembers(members []view.Member) { b.inputs.Offer(input{members: members}) }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -101,13 +101,9 @@
 func (f *Front) Draining() bool { return f.draining.Load() }
 
 func (f *Front) accept(ctx context.Context) error {
-	for {
-		conn, err := f.listener.Accept()
-		if err != nil {
-			return err
-		}
+	return duty.Accept(ctx, f.listener, func(conn net.Conn) {
 		f.ended.Go(ctx, func(ctx context.Context) error { return f.serve(ctx, conn) })
-	}
+	})
 }
 
 // serve is the duty of one caller's connection.
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -141,7 +141,7 @@
 	if found {
 		go owned.stop()
 	}
-	s := &station{dispatch: d, database: database, member: m, base: base, gate: duty.NewCell[*Gate](nil), slots: max(listed.Slots, 1)}
+	s := &station{dispatch: d, database: database, member: m, base: base, gate: duty.NewCell[*Gate](nil), holder: duty.NewCell(""), slots: max(listed.Slots, 1)}
 	d.stations[key] = &ownedStation{station: s, stop: duty.Run(s.run)}
 	return s
 }
@@ -202,7 +202,7 @@
 	if g := s.gate.Load(); g != nil {
 		return g.Acquire(ctx, work)
 	}
-	dispatcher := s.dispatcher()
+	dispatcher := s.holder.Load()
 	if dispatcher == "" || dispatcher == d.options.Host {
 		return nil, fault.New(fault.Undispatched, "wait for slot", "no proxy gives out the slots of %s", s.key())
 	}
@@ -222,8 +222,10 @@
 // awaitChange waits until the member's dispatch may have changed.
 func (s *station) awaitChange(ctx context.Context) bool {
 	_, led := s.gate.Watch()
+	_, named := s.holder.Watch()
 	select {
 	case <-led:
+	case <-named:
 	case <-time.After(retryDelay):
 	case <-ctx.Done():
 		return false
@@ -242,8 +244,8 @@
 		return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s cannot be reached", dispatcher)
 	}
 	for {
-		v, changed := s.base.Watch()
-		if report, _ := v.Report(s.member.Name); report.State.Dispatcher != dispatcher {
+		holder, changed := s.holder.Watch()
+		if holder != dispatcher {
 			release()
 			return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
 		}
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -82,8 +82,11 @@
 	member   view.Member
 	base     *ctrl.Base
 	gate     *duty.Cell[*Gate]
-	slots    int
-	vacant   time.Time
+	// holder is the dispatcher that the member named last, for requests that
+	// wait for its grant.
+	holder *duty.Cell[string]
+	slots  int
+	vacant time.Time
 }
 
 // run is the duty that leads whenever it should.
@@ -114,6 +117,9 @@
 	sight := Sight{Self: o.Host, Place: -1, Silence: o.Silence}
 	v := s.base.View()
 	r, heard := v.Report(s.member.Name)
+	if r.State.Dispatcher != s.holder.Load() {
+		s.holder.Store(r.State.Dispatcher)
+	}
 	if !heard || v.Silent(s.member.Name) {
 		s.vacant = now
 		return sight
--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -198,13 +198,9 @@
 func (m *Member) serve(ctx context.Context) error {
 	var group sync.WaitGroup
 	defer group.Wait()
-	for {
-		conn, err := m.listener.Accept()
-		if err != nil {
-			return err
-		}
+	return duty.Accept(ctx, m.listener, func(conn net.Conn) {
 		group.Go(func() { m.serveConn(ctx, conn) })
-	}
+	})
 }
 
 func (m *Member) closeSessions() {
--- a/internal/labset/help_test.go
+++ b/internal/labset/help_test.go
@@ -34,20 +34,28 @@
 	return nil
 }
 
-// lentTo returns how many connections the first proxy has lent.
-func lentTo(ctx context.Context, set *labset.Set) int {
+// status returns what the first proxy believes.
+func status(ctx context.Context, set *labset.Set) app.Status {
 	response, err := operate(ctx, set, http.MethodGet, app.PathStatus)
 	Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = response.Body.Close() }()
 	var s app.Status
 	Expect(json.NewDecoder(response.Body).Decode(&s)).To(Succeed())
+	return s
+}
+
+// lentTo returns how many connections the first proxy has lent.
+func lentTo(ctx context.Context, set *labset.Set) int {
 	lent := 0
-	for _, p := range s.Pools {
+	for _, p := range status(ctx, set).Pools {
 		lent += p.Lent
 	}
 	return lent
 }
 
+// sheetSerial returns the serial of the sheet in force on the first proxy.
+func sheetSerial(ctx context.Context, set *labset.Set) uint64 { return status(ctx, set).Sheet.Serial }
+
 // loadSheet loads the set's sheet with one text replaced.
 func loadSheet(ctx context.Context, set *labset.Set, was, is string) error {
 	csv, err := labset.Sheet()
--- a/internal/labset/path_test.go
+++ b/internal/labset/path_test.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5"
 	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/jackc/pgx/v5/pgtype"
 	_ "github.com/lib/pq"
 	. "github.com/onsi/ginkgo/v2"
@@ -141,6 +142,22 @@
 		Expect(err).To(haveState("PN001"))
 	}, SpecTimeout(time.Minute))
 
+	It("cannot hold a member's slot by not reading its answer", func(ctx SpecContext) {
+		set := startSet(ctx, labset.Options{
+			Members: 1, Proxies: 1, Member: labdb.Options{Slots: 1},
+			Settings: func(s *config.Settings) { s.Limits.MemberConnections = 1 },
+		})
+		Expect(loadSheet(ctx, set, "stock,read,yes,2,10000", "stock,read,yes,2,500")).To(Succeed())
+		Eventually(func() uint64 { return sheetSerial(ctx, set) }).Should(BeEquivalentTo(2))
+		idle := connect(ctx, set, 0, stock)
+		const rows = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 300000) SELECT i, hex(zeroblob(100)) FROM n"
+		frontend := idle.PgConn().Frontend()
+		frontend.SendQuery(&pgproto3.Query{String: rows})
+		Expect(frontend.Flush()).To(Succeed())
+		other := connect(ctx, set, 0, counting)
+		Eventually(func() error { _, err := other.Exec(ctx, "SELECT 1"); return err }).Should(Succeed())
+	}, SpecTimeout(time.Minute))
+
 	It("cannot disturb others with garbage or oversized messages", func(ctx SpecContext) {
 		set := startSet(ctx, labset.Options{Members: 3, Proxies: 1})
 		conn := connect(ctx, set, 0, order)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -158,20 +158,16 @@
 
 // accept is the duty that takes connections from peers.
 func (m *Mesh) accept(ctx context.Context) error {
-	for {
-		conn, err := m.listener.Accept()
-		if err != nil {
-			return err
-		}
+	return duty.Accept(ctx, m.listener, func(conn net.Conn) {
 		if !m.admit(conn) {
 			_ = conn.Close()
-			return nil
+			return
 		}
 		m.accepted.Go(ctx, func(ctx context.Context) error {
 			defer m.release(conn)
 			return m.serve(ctx, conn)
 		})
-	}
+	})
 }
 
 func (m *Mesh) admit(conn net.Conn) bool {
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net"
+	"time"
 
 	"github.com/jackc/pgx/v5/pgproto3"
 )
@@ -70,6 +71,14 @@
 	}
 }
 
+// SetDeadline ends every later write to the caller at the given time, so that a
+// caller that does not read cannot hold a member's connection.
+func (w *Writer) SetDeadline(t time.Time) {
+	if err := w.conn.SetWriteDeadline(t); err != nil && w.err == nil {
+		w.err = err
+	}
+}
+
 // Sent tells whether any byte was written since the last call of Begin.
 func (w *Writer) Sent() bool { return w.sent }
 
