--- a/internal/labset/path_test.go
+++ b/internal/labset/path_test.go
@@ -155,6 +155,7 @@
 		frontend.SendQuery(&pgproto3.Query{String: rows})
 		Expect(frontend.Flush()).To(Succeed())
 		other := connect(ctx, set, 0, counting)
+		Eventually(func() int { return lentTo(ctx, set) }).Should(Equal(1))
 		Eventually(func() error { _, err := other.Exec(ctx, "SELECT 1"); return err }).Should(Succeed())
 	}, SpecTimeout(time.Minute))
 
