Idle databases are asked seldom; only an unanswered question makes a suspicion

Cause: control cost a daemon with 12 databases 16,509 bytes/s, 8 times over the 2 KB/s allowed; all but the heartbeats were questions to databases that no one used. Change: ten seconds after the last request that waited for an answer, a primary is asked once a second and a replica every five. A primary that is seldom asked must not look silent, so a suspicion now needs an unanswered question, and a watcher that is asked for its vote asks the primary at once.

--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -44,11 +44,13 @@
 
 // Base watches one database.
 type Base struct {
-	options  BaseOptions
-	name     string
-	cell     *duty.Cell[view.View]
-	inputs   *duty.Ring[input]
-	waiting  atomic.Int64
+	options BaseOptions
+	name    string
+	cell    *duty.Cell[view.View]
+	inputs  *duty.Ring[input]
+	waiting atomic.Int64
+	// awaited is when a request last waited for an answer, in nanoseconds.
+	awaited  atomic.Int64
 	watchers *duty.Cell[[]string]
 	pollers  map[string]poller
 	primary  string
@@ -88,6 +90,7 @@
 		pollers:  make(map[string]poller),
 		leaving:  make(map[string]time.Time),
 	}
+	b.awaited.Store(time.Now().UnixNano())
 	return b, duty.Run(b.run)
 }
 
@@ -109,8 +112,10 @@
 	b.inputs.Offer(input{event: elect.Event{Handover: &elect.Handover{Target: target}}})
 }
 
-// Judge answers another watcher's question.
+// Judge answers another watcher's question, and makes the members be asked, so
+// that the next answer rests on what they say now.
 func (b *Base) Judge(term group.Term) bool {
+	b.poke()
 	return elect.Judge(b.options.Rules, b.View(), term, time.Now())
 }
 
@@ -123,6 +128,7 @@
 		return v, true
 	}
 	b.waiting.Add(1)
+	b.awaited.Store(time.Now().UnixNano())
 	defer b.waiting.Add(-1)
 	b.poke()
 	for {
--- a/internal/ctrl/failover_test.go
+++ b/internal/ctrl/failover_test.go
@@ -18,6 +18,8 @@
 	target   = 6 * time.Second
 	outage   = 4 * time.Second
 	runSeeds = 4
+	// idleTime is longer than it takes for a database to count as idle.
+	idleTime = 15 * time.Second
 )
 
 // failure is a kind of failure. It begins with begin and ends with heal. The
@@ -77,6 +79,18 @@
 	return []failure{
 		{name: "kill", begin: func(x *world) { x.members[0].setUp(false) }, heal: nothing},
 		{name: "kill-and-return", begin: func(x *world) { x.members[0].setUp(false) }, heal: func(x *world) { x.members[0].setUp(true) }},
+		{name: "kill-while-idle", begin: func(x *world) {
+			x.quiet.Store(true)
+			time.Sleep(idleTime)
+			x.members[0].setUp(false)
+			x.quiet.Store(false)
+		}, heal: nothing},
+		{name: "freeze-while-idle", begin: func(x *world) {
+			x.quiet.Store(true)
+			time.Sleep(idleTime)
+			x.members[0].freeze()
+			x.quiet.Store(false)
+		}, heal: func(x *world) { x.members[0].unfreeze() }},
 		{name: "freeze", begin: func(x *world) { x.members[0].freeze() }, heal: func(x *world) { x.members[0].unfreeze() }},
 		{name: "cut-all", begin: func(x *world) { cutPrimary(x, true) }, heal: func(x *world) { cutPrimary(x, false) }},
 		{name: "cut-with-minority", begin: func(x *world) { minority(x, true) }, heal: func(x *world) { minority(x, false) }},
@@ -147,9 +161,9 @@
 	defer cleanUp()
 	jitter := time.Duration(x.rng.IntN(400)) * time.Millisecond
 	time.Sleep(faultAt + jitter)
-	began := time.Now()
 	quiet := len(x.acks)
 	f.begin(x)
+	began := time.Now()
 	time.Sleep(healAt - faultAt)
 	f.heal(x)
 	time.Sleep(runEnds - healAt)
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -71,9 +71,18 @@
 	return nil
 }
 
-// farPeriods is how many periods lie between questions to a replica in another
-// region while no one waits for its answer.
-const farPeriods = 4
+// The periods between questions to a member are multiples of the shortest one.
+const (
+	// farPeriods holds for replicas in another region.
+	farPeriods = 4
+	// idlePeriods holds for the primary of an idle database, and
+	// idleReplicaPeriods for its replicas.
+	idlePeriods        = 4
+	idleReplicaPeriods = 20
+	// idleAfter is how long no request must have waited for an answer before the
+	// database counts as idle.
+	idleAfter = 10 * time.Second
+)
 
 // pauseFor returns the pause before the next question to a member. While
 // requests wait, only the members that a majority needs are asked often; the
@@ -87,10 +96,18 @@
 		return askSpacing
 	}
 	primary, found := v.Primary()
-	if m.Region != b.options.Region && found && primary.Member != m.Name {
+	isPrimary := found && primary.Member == m.Name
+	idle := found && time.Now().UnixNano()-b.awaited.Load() > int64(idleAfter)
+	switch {
+	case idle && isPrimary:
+		return idlePeriods * b.options.Poll
+	case idle:
+		return idleReplicaPeriods * b.options.Poll
+	case m.Region != b.options.Region && !isPrimary:
 		return farPeriods * b.options.Poll
+	default:
+		return b.options.Poll
 	}
-	return b.options.Poll
 }
 
 func (b *Base) ask(ctx context.Context, control member.Control, m view.Member) {
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -70,7 +70,9 @@
 	falsely  int
 	handover bool
 	doubled  atomic.Bool
-	running  sync.WaitGroup
+	// quiet keeps the writers from writing.
+	quiet   atomic.Bool
+	running sync.WaitGroup
 }
 
 type ack struct {
@@ -523,6 +525,10 @@
 // write sends writes through the proxy at a steady rate, from many callers.
 func (p *fakeProxy) write(ctx context.Context) {
 	for n := 0; ctx.Err() == nil; n++ {
+		if p.world.quiet.Load() {
+			pause(ctx, writePeriod)
+			continue
+		}
 		p.world.running.Go(func() { p.writeOne(ctx, fmt.Sprintf("%s/%d", p.name, n)) })
 		pause(ctx, writePeriod)
 	}
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -65,7 +65,16 @@
 		return false
 	}
 	r, found := v.Primary()
-	return !found || v.Fence() > term || now.Sub(r.Asked) >= rules.Doubt
+	return !found || v.Fence() > term || silentFor(v, r, now) >= rules.Doubt
+}
+
+// silentFor returns how long a member has not answered, or 0 if it answered the
+// last question: a member that is seldom asked is not silent.
+func silentFor(v view.View, r view.Report, now time.Time) time.Duration {
+	if !v.Silent(r.Member) {
+		return 0
+	}
+	return now.Sub(r.Asked)
 }
 
 // Step advances the machine by one event, or by the passing of time if the
@@ -138,11 +147,10 @@
 	if v.Fence() > v.Term() {
 		return true
 	}
-	since := m.started
 	if r, found := v.Primary(); found {
-		since = r.Asked
+		return silentFor(v, r, now) >= m.rules.Suspect
 	}
-	return now.Sub(since) >= m.rules.Suspect
+	return now.Sub(m.started) >= m.rules.Suspect
 }
 
 func (m Machine) watch(now time.Time, v view.View) (Machine, []Action) {
--- a/internal/labset/cost_test.go
+++ b/internal/labset/cost_test.go
@@ -48,7 +48,11 @@
 	return err
 }
 
-const costTime = 5 * time.Second
+const (
+	costTime = 10 * time.Second
+	// settleTime is how long a proxy takes to count its databases as idle.
+	settleTime = 12 * time.Second
+)
 
 // BenchmarkControlCost measures what control costs one proxy, in real time: the
 // proxy has this process to itself, and all else runs in another.
@@ -105,7 +109,7 @@
 	}
 	defer cleanUp()
 	_ = proxy
-	time.Sleep(costTime)
+	time.Sleep(settleTime)
 	bytesBefore, cpuBefore := scrape(b, settings.OperatorAddress), cpuTime()
 	began := time.Now()
 	time.Sleep(costTime)
