--- /dev/null
+++ b/internal/peer/size_test.go
@@ -0,0 +1,35 @@
+package peer_test
+
+import (
+	"testing"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/peer"
+)
+
+// BenchmarkFrameBytes reports the size of each frame, and the time to encode it.
+func BenchmarkFrameBytes(b *testing.B) {
+	frames := map[string]peer.Frame{
+		"beat":  {Beat: &peer.Beat{Serials: map[book.Kind]uint64{book.Sheet: 6300, book.Databases: 400, book.Hosts: 1841}}},
+		"want":  {Want: &peer.Want{ID: 1 << 20, Database: "stock-pest", Member: "stock-pest-csepel", Caller: "dispatcher", Rank: 2, Left: 3 * time.Second}},
+		"grant": {Grant: &peer.Grant{ID: 1 << 20, Given: true}},
+		"done":  {Done: &peer.Done{ID: 1 << 20}},
+		"ask":   {Ask: &peer.Ask{Database: "stock-pest", Term: 12}},
+		"vote":  {Vote: &peer.VoteFrame{Database: "stock-pest", Vote: elect.Vote{From: "csepel-1", Term: 12, Down: true}}},
+	}
+	for name, f := range frames {
+		b.Run(name, func(b *testing.B) {
+			size := 0
+			for b.Loop() {
+				raw, err := peer.Encode(f)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(raw)
+			}
+			b.ReportMetric(float64(size), "bytes")
+		})
+	}
+}
