--- /dev/null
+++ b/internal/member/pool_test.go
@@ -0,0 +1,180 @@
+package member_test
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/labdb"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+)
+
+// path forwards connections to a member, and can lose track of those that are
+// open: they stay open and carry nothing any more.
+type path struct {
+	listener net.Listener
+	target   string
+	opened   atomic.Int64
+	mu       sync.Mutex
+	lost     []*atomic.Bool
+}
+
+func newPath(t *testing.T, target string) *path {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &path{listener: listener, target: target}
+	t.Cleanup(func() { _ = listener.Close() })
+	go p.serve()
+	return p
+}
+
+func (p *path) serve() {
+	for {
+		near, err := p.listener.Accept()
+		if err != nil {
+			return
+		}
+		far, err := net.Dial("tcp", p.target)
+		if err != nil {
+			_ = near.Close()
+			continue
+		}
+		p.opened.Add(1)
+		lost := &atomic.Bool{}
+		p.mu.Lock()
+		p.lost = append(p.lost, lost)
+		p.mu.Unlock()
+		go forward(near, far, lost)
+		go forward(far, near, lost)
+	}
+}
+
+func forward(from, to net.Conn, lost *atomic.Bool) {
+	defer func() { _ = to.Close() }()
+	buffer := make([]byte, 4096)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		if lost.Load() {
+			continue
+		}
+		if _, err := to.Write(buffer[:n]); err != nil {
+			return
+		}
+	}
+}
+
+// loseTrack makes all open connections silent. New ones work.
+func (p *path) loseTrack() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, lost := range p.lost {
+		lost.Store(true)
+	}
+}
+
+const poolSize = 3
+
+func newPool(t *testing.T, check time.Duration) (*member.Pool, *path) {
+	m, cleanUp, err := labdb.New(labdb.Options{Address: "127.0.0.1:0"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanUp)
+	p := newPath(t, m.Address())
+	pool, closePool := member.NewPool(p.listener.Addr().String(), member.Login{User: "proxy", Database: "d"}, poolSize, check)
+	t.Cleanup(closePool)
+	return pool, p
+}
+
+func fill(g *WithT, pool *member.Pool, mode member.Mode) {
+	var conns []*member.Conn
+	for range poolSize {
+		c, err := pool.Get(context.Background(), mode)
+		g.Expect(err).NotTo(HaveOccurred())
+		conns = append(conns, c)
+	}
+	for _, c := range conns {
+		pool.Put(c, true)
+	}
+}
+
+func TestASilentPoolIsReplacedAtOnce(t *testing.T) {
+	g := NewWithT(t)
+	pool, p := newPool(t, time.Nanosecond)
+	fill(g, pool, member.ReadOnly)
+	p.loseTrack()
+	c, err := pool.Get(context.Background(), member.ReadOnly)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(p.opened.Load()).To(BeEquivalentTo(poolSize+1), "one new connection for one request")
+	_, idle := pool.Counts()
+	g.Expect(idle).To(BeZero(), "the other silent connections are not tried in turn")
+	pool.Put(c, true)
+	fill(g, pool, member.ReadOnly)
+}
+
+func TestAPoolKeepsItsLimitOverBothModes(t *testing.T) {
+	g := NewWithT(t)
+	pool, _ := newPool(t, time.Minute)
+	fill(g, pool, member.ReadOnly)
+	fill(g, pool, member.ReadWrite)
+	lent, idle := pool.Counts()
+	g.Expect(lent).To(BeZero())
+	g.Expect(idle).To(Equal(poolSize))
+}
+
+func TestAFullPoolRefusesAsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	pool, _ := newPool(t, time.Minute)
+	for range poolSize {
+		_, err := pool.Get(context.Background(), member.ReadWrite)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := pool.Get(ctx, member.ReadWrite)
+	g.Expect(fault.Of(err).Kind).To(Equal(fault.Overloaded))
+}
+
+func TestDoubtfulAndUncleanConnectionsAreClosed(t *testing.T) {
+	g := NewWithT(t)
+	pool, _ := newPool(t, time.Minute)
+	for _, spoil := range []func(*member.Conn) bool{
+		func(c *member.Conn) bool { c.Doubt(); return true },
+		func(*member.Conn) bool { return false },
+		func(*member.Conn) bool { pool.Silent(); return true },
+	} {
+		c, err := pool.Get(context.Background(), member.ReadWrite)
+		g.Expect(err).NotTo(HaveOccurred())
+		pool.Put(c, spoil(c))
+		_, err = c.Read(make([]byte, 1))
+		g.Expect(err).To(MatchError(net.ErrClosed))
+	}
+	lent, idle := pool.Counts()
+	g.Expect(lent + idle).To(BeZero())
+}
+
+func FuzzParseState(f *testing.F) {
+	f.Add("primary 3 3 3 120 120 0 host-1 1:0,3:100")
+	f.Add("replica 1 0 0 0 0 0 - -")
+	f.Fuzz(func(t *testing.T, text string) {
+		s, err := member.ParseState(text)
+		if err != nil {
+			return
+		}
+		again, err := member.ParseState(member.FormatState(s))
+		if err != nil || again.Log() != s.Log() || again.Fence != s.Fence {
+			t.Fatalf("state %q: got %v after a round trip, want %v (%v)", text, again, s, err)
+		}
+	})
+}
