--- /dev/null
+++ b/internal/elect/trace_test.go
@@ -0,0 +1,137 @@
+package elect_test
+
+import (
+	"bufio"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// replay drives a machine by the events of a trace. The machine is that of
+// watcher p1; the watchers are p1, p2 and p3, the members a, b and c.
+type replay struct {
+	t       *testing.T
+	start   time.Time
+	machine elect.Machine
+	view    view.View
+}
+
+// TestTraces replays the traces in testdata. Each line holds a time in
+// milliseconds, an event, and behind an arrow the actions that follow.
+func TestTraces(t *testing.T) {
+	files, err := filepath.Glob(filepath.Join("testdata", "*.txt"))
+	if err != nil || len(files) == 0 {
+		t.Fatal("no traces", err)
+	}
+	for _, file := range files {
+		t.Run(filepath.Base(file), func(t *testing.T) { replayFile(t, file) })
+	}
+}
+
+func replayFile(t *testing.T, name string) {
+	file, err := os.Open(name) //nolint:gosec // a file of testdata
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = file.Close() }()
+	start := time.Unix(0, 0)
+	r := &replay{t: t, start: start}
+	r.machine = elect.New(elect.RulesFor(time.Second), "p1", []string{"p1", "p2", "p3"}, start)
+	r.view = view.New("d", []view.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	lines := bufio.NewScanner(file)
+	for n := 1; lines.Scan(); n++ {
+		line := strings.TrimSpace(lines.Text())
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		happened, want, _ := strings.Cut(line, "->")
+		if got := r.step(strings.Fields(happened)); got != strings.TrimSpace(want) {
+			t.Errorf("line %d: %s: got %q, want %q", n, strings.TrimSpace(happened), got, strings.TrimSpace(want))
+		}
+	}
+}
+
+func (r *replay) number(word string) int {
+	n, err := strconv.Atoi(word)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return n
+}
+
+func (r *replay) term(word string) group.Term { return group.Term(r.number(word)) } //nolint:gosec // small numbers of a trace
+
+// step takes one event and returns the actions in short form.
+func (r *replay) step(words []string) string {
+	now := r.start.Add(time.Duration(r.number(words[0])) * time.Millisecond)
+	event := r.event(now, words[1], words[2:])
+	var actions []elect.Action
+	r.machine, actions = r.machine.Step(now, r.view, event)
+	var out []string
+	for _, a := range actions {
+		out = append(out, brief(a))
+	}
+	return strings.Join(out, ", ")
+}
+
+func (r *replay) event(now time.Time, verb string, args []string) elect.Event {
+	switch verb {
+	case "report":
+		// report MEMBER ROLE TERM FENCE RECEIVED
+		s := group.State{Term: r.term(args[2]), Fence: r.term(args[3]), EntryTerm: r.term(args[2])}
+		s.Received = group.Position(r.term(args[4]))
+		if args[1] == "primary" {
+			s.Role = group.Primary
+		}
+		r.view = r.view.WithReport(view.Report{Member: args[0], Asked: now, Heard: now, State: s})
+	case "silent":
+		r.view = r.view.WithSilence(args[0])
+	case "vote":
+		return elect.Event{Vote: &elect.Vote{From: args[0], Term: r.term(args[1]), Down: args[2] == "down"}}
+	case "won":
+		return elect.Event{Claimed: &elect.Claimed{Won: true, Claim: elect.Claim{Term: r.term(args[0]), Promoter: "p1", Attempt: "x"}}}
+	case "conflict":
+		return elect.Event{Claimed: &elect.Claimed{Conflict: true}}
+	case "unreachable":
+		return elect.Event{Claimed: &elect.Claimed{}}
+	case "answer":
+		// answer MEMBER TERM promised|refused|failed|promoted ENTRYTERM RECEIVED
+		a := &elect.Answer{Member: args[0], Term: r.term(args[1]), Refused: args[2] == "refused", Failed: args[2] == "failed"}
+		a.State = group.State{EntryTerm: r.term(args[3]), Received: group.Position(r.term(args[4])), Term: a.Term}
+		if args[2] == "promoted" {
+			a.State.Role = group.Primary
+		}
+		return elect.Event{Answer: a}
+	case "handover":
+		return elect.Event{Handover: &elect.Handover{Target: args[0]}}
+	case "tick":
+	default:
+		r.t.Fatalf("no such event: %s", verb)
+	}
+	return elect.Event{}
+}
+
+func brief(a elect.Action) string {
+	switch {
+	case a.AskWatchers != nil:
+		return fmt.Sprint("ask ", a.AskWatchers.Term)
+	case a.ClaimTerm != nil:
+		return fmt.Sprint("claim after ", a.ClaimTerm.After)
+	case a.Fence != nil:
+		return fmt.Sprint("fence ", a.Fence.Member, " ", a.Fence.Claim.Term)
+	case a.Promote != nil:
+		return fmt.Sprint("promote ", a.Promote.Member, " ", a.Promote.Claim.Term)
+	case a.Follow != nil:
+		return fmt.Sprint("follow ", a.Follow.Member, " ", a.Follow.Leader.Name, " ", a.Follow.Term)
+	default:
+		return [...]string{"suspected", "ended", "won", "lost", "promoted", "failed"}[a.Note.Kind]
+	}
+}
--- a/internal/front/login.go
+++ b/internal/front/login.go
@@ -6,7 +6,6 @@
 	"strings"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/xdg-go/scram"
 
@@ -23,8 +22,11 @@
 	maxStartups = 3
 )
 
-// errCancelled ends a connection that only carried a cancel request.
-var errCancelled = errors.New("login: the connection carried a cancel request")
+// cancelOnlyError ends a connection that only carried a cancel request.
+type cancelOnlyError struct{}
+
+// Error implements error.
+func (cancelOnlyError) Error() string { return "log in: the connection carried a cancel request" }
 
 // login reads the start-up messages, checks who the caller is, and greets it.
 func (s *Session) login() error {
@@ -58,7 +60,7 @@
 			return start, nil
 		case *pgproto3.CancelRequest:
 			s.front.takeCancel(start)
-			return nil, errCancelled
+			return nil, cancelOnlyError{}
 		default:
 			if _, err := s.conn.Write([]byte("N")); err != nil {
 				return nil, err
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -75,7 +75,8 @@
 }
 
 func (s *Session) denied(err error) error {
-	if errors.Is(err, errCancelled) {
+	var cancelOnly cancelOnlyError
+	if errors.As(err, &cancelOnly) {
 		return nil
 	}
 	s.front.options.Log.Emit(event.CallerDenied, event.Fields{
