Tests of the protocol between caller and member; a dispatcher stopped and resumed

Tests: statements that follow their session to other connections, the unnamed statement across batches, local statements, held and dropped answers, what is refused; with processes, a stopped dispatcher is replaced and may come back.

--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -22,6 +22,7 @@
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/labset"
+	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/view"
 )
 
@@ -244,3 +245,44 @@
 	s.Expect(err).NotTo(HaveOccurred())
 	s.Expect(state.ExitCode()).To(BeZero())
 }
+
+// dispatcher returns the proxy that gives out a member's slots.
+func (s *site) dispatcher(m *process) string {
+	conn, err := pgx.Connect(context.Background(), "postgres://caller@"+m.address+"/stock?sslmode=disable")
+	s.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = conn.Close(context.Background()) }()
+	results, err := conn.PgConn().Exec(context.Background(), member.StatusQuery).ReadAll()
+	s.Expect(err).NotTo(HaveOccurred())
+	state, err := member.ParseState(string(results[0].Rows[0][0]))
+	s.Expect(err).NotTo(HaveOccurred())
+	return state.Dispatcher
+}
+
+func TestDispatcherIsStoppedAndResumed(t *testing.T) {
+	s := newSite(t)
+	primary := s.members[0]
+	s.Eventually(func() string { return s.dispatcher(primary) }).ShouldNot(BeEmpty())
+	first := s.dispatcher(primary)
+	other := 0
+	for i, p := range s.proxies {
+		if p.settings.Host == first {
+			p.signal(syscall.SIGSTOP)
+			defer p.signal(syscall.SIGCONT)
+		} else {
+			other = i
+		}
+	}
+	conn := s.connect(other, "order")
+	write := func() error {
+		_, err := conn.Exec(context.Background(), "SELECT 1")
+		return err
+	}
+	s.Eventually(write).Should(Succeed())
+	s.Expect(s.dispatcher(primary)).NotTo(Equal(first))
+	for _, p := range s.proxies {
+		p.signal(syscall.SIGCONT)
+	}
+	for range 20 {
+		s.Expect(write()).To(Succeed(), "after the first dispatcher came back")
+	}
+}
--- /dev/null
+++ b/internal/wire/wire_test.go
@@ -0,0 +1,190 @@
+package wire_test
+
+import (
+	"bytes"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+)
+
+const limit = 1 << 16
+
+// collect adds messages and returns the batch that the last one completes.
+func collect(g *WithT, c *wire.Collector, messages ...pgproto3.FrontendMessage) *wire.Batch {
+	var batch *wire.Batch
+	for _, m := range messages {
+		var err error
+		batch, err = c.Add(m)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(batch).NotTo(BeNil())
+	return batch
+}
+
+// types returns the type bytes of encoded messages.
+func types(raw []byte) string {
+	var out strings.Builder
+	for len(raw) > 0 {
+		out.WriteByte(raw[0])
+		size := int(raw[1])<<24 | int(raw[2])<<16 | int(raw[3])<<8 | int(raw[4])
+		raw = raw[1+size:]
+	}
+	return out.String()
+}
+
+// sent returns the types of what goes to a connection with these statements.
+func sent(b *wire.Batch, prepared map[string]struct{}) string {
+	raw, _ := b.Encode(prepared)
+	return types(raw)
+}
+
+func parse(name string) *pgproto3.Parse { return &pgproto3.Parse{Name: name, Query: "SELECT $1"} }
+
+func bind(name string) *pgproto3.Bind { return &pgproto3.Bind{PreparedStatement: name} }
+
+func TestStatementsFollowTheirSessionToOtherConnections(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(limit)
+	first := collect(g, c, parse("mine"), &pgproto3.Describe{ObjectType: 'S', Name: "mine"}, &pgproto3.Sync{})
+	g.Expect(sent(first, nil)).To(Equal("PDS"))
+	second := collect(g, c, bind("mine"), &pgproto3.Execute{}, &pgproto3.Sync{})
+	g.Expect(sent(second, nil)).To(Equal("PBES"), "a connection that lacks the statement gets it")
+	prepared := relayed(g, second)
+	g.Expect(prepared).To(HaveLen(1))
+	g.Expect(sent(second, prepared)).To(Equal("BES"), "one that has it does not")
+	g.Expect(sent(first, prepared)).To(Equal("CDS"), "nor is it prepared twice")
+	// Another session's statement of the same text is the same one.
+	other := wire.NewCollector(limit)
+	collect(g, other, parse("theirs"), &pgproto3.Sync{})
+	g.Expect(sent(collect(g, other, bind("theirs"), &pgproto3.Execute{}, &pgproto3.Sync{}), prepared)).To(Equal("BES"))
+}
+
+func TestTheUnnamedStatementOutlivesItsBatch(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(limit)
+	collect(g, c, parse(""), &pgproto3.Sync{})
+	g.Expect(sent(collect(g, c, bind(""), &pgproto3.Execute{}, &pgproto3.Sync{}), nil)).To(Equal("PBES"))
+	g.Expect(sent(collect(g, c, parse(""), bind(""), &pgproto3.Execute{}, &pgproto3.Sync{}), nil)).To(Equal("PBES"))
+}
+
+func TestAClosedStatementIsGone(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(limit)
+	collect(g, c, parse("mine"), &pgproto3.Sync{})
+	collect(g, c, &pgproto3.Close{ObjectType: 'S', Name: "mine"}, &pgproto3.Sync{})
+	_, err := c.Add(bind("mine"))
+	g.Expect(fault.Of(err).Kind).To(Equal(fault.Protocol))
+}
+
+func TestWhatIsNotServedIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	for _, m := range []pgproto3.FrontendMessage{
+		&pgproto3.Flush{}, &pgproto3.FunctionCall{}, &pgproto3.Query{String: strings.Repeat("x", limit+1)},
+	} {
+		_, err := wire.NewCollector(limit).Add(m)
+		g.Expect(fault.Of(err).Kind).To(Equal(fault.Protocol))
+	}
+}
+
+func TestLocalStatements(t *testing.T) {
+	g := NewWithT(t)
+	for text, want := range map[string]*wire.Local{
+		"SET poplarrouter.kind = 'own-orders'":       {Setting: wire.LabelSetting, Value: "own-orders"},
+		"set session poplarrouter.floor to '3:12' ;": {Setting: wire.FloorSetting, Value: "3:12"},
+		"SHOW poplarrouter.floor":                    {Setting: wire.FloorSetting, Show: true},
+		"SET search_path = x":                        nil,
+		"SET poplarrouter.kind = 'a'; DROP TABLE t":  nil,
+		"SELECT 'SET poplarrouter.kind = x'":         nil,
+	} {
+		b := collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text})
+		g.Expect(b.Local).To(Equal(want), text)
+	}
+	for text, reads := range map[string]bool{
+		"BEGIN READ ONLY": true, "start transaction isolation level serializable, read only": true,
+		"BEGIN": false, "BEGIN; SET TRANSACTION READ ONLY": false, "SELECT 'BEGIN READ ONLY'": false,
+	} {
+		g.Expect(collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text}).BeginsReadOnly()).To(Equal(reads), text)
+	}
+}
+
+// scripted is a member that answers with given messages.
+type scripted struct{ messages []pgproto3.BackendMessage }
+
+func (s *scripted) Receive() (pgproto3.BackendMessage, error) {
+	if len(s.messages) == 0 {
+		return nil, net.ErrClosed
+	}
+	m := s.messages[0]
+	s.messages = s.messages[1:]
+	return m, nil
+}
+
+func (s *scripted) Send(pgproto3.FrontendMessage) {}
+func (s *scripted) Flush() error                  { return nil }
+
+var _ wire.Receiver = (*scripted)(nil)
+
+// sink keeps what is written to a caller.
+type sink struct {
+	net.Conn
+	bytes.Buffer
+}
+
+func (s *sink) Write(p []byte) (int, error) { return s.Buffer.Write(p) }
+func (s *sink) Read(p []byte) (int, error)  { return s.Buffer.Read(p) }
+
+// relayed relays the answer to a batch that brought its statement along, and
+// returns the statements that are prepared then.
+func relayed(g *WithT, b *wire.Batch) map[string]struct{} {
+	prepared := make(map[string]struct{})
+	_, plan := b.Encode(prepared)
+	out := &sink{}
+	w := wire.NewWriter(out)
+	answer, err := wire.Relay(&scripted{messages: []pgproto3.BackendMessage{
+		&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: wire.Idle},
+	}}, w, plan, prepared, 0)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Whole).To(BeTrue())
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(types(out.Bytes())).To(Equal("2CZ"), "the caller did not ask for the parse")
+	return prepared
+}
+
+func TestTheEndOfAnAnswerIsHeldBack(t *testing.T) {
+	g := NewWithT(t)
+	out := &sink{}
+	w := wire.NewWriter(out)
+	messages := []pgproto3.BackendMessage{
+		&pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), 1<<15)}},
+		&pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}, &pgproto3.ReadyForQuery{TxStatus: wire.Idle},
+	}
+	_, err := wire.Relay(&scripted{messages: messages}, w, &wire.Plan{}, nil, 100)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(types(out.Bytes())).To(Equal("D"), "rows go on, the completion waits")
+	w.PutFirst(&pgproto3.ParameterStatus{Name: "n", Value: "v"})
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(types(out.Bytes())).To(Equal("DSCZ"))
+	out.Reset()
+	_, err = wire.Relay(&scripted{messages: messages[1:]}, w, &wire.Plan{}, nil, 100)
+	g.Expect(err).NotTo(HaveOccurred())
+	w.Drop()
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(out.Len()).To(BeZero(), "an answer that was dropped is never told")
+}
+
+func TestAnAnswerThatBreaksOffOrIsTooLarge(t *testing.T) {
+	g := NewWithT(t)
+	w := wire.NewWriter(&sink{})
+	_, err := wire.Relay(&scripted{}, w, &wire.Plan{}, nil, 0)
+	g.Expect(fault.Of(err).Kind).To(Equal(fault.Severed))
+	complete := &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}
+	row := &pgproto3.DataRow{Values: [][]byte{bytes.Repeat([]byte("x"), 200)}}
+	_, err = wire.Relay(&scripted{messages: []pgproto3.BackendMessage{complete, row}}, w, &wire.Plan{}, nil, 100)
+	g.Expect(fault.Of(err).Kind).To(Equal(fault.Oversized))
+}
