--- a/internal/ctrl/failover_test.go
+++ b/internal/ctrl/failover_test.go
@@ -128,7 +128,7 @@
 			freezeProxyOrders(x, 2*time.Second)
 			x.members[0].setUp(false)
 		}, heal: func(x *world) { freezeProxyOrders(x, 0) }, allowed: 2 * time.Second},
-		{name: "planned", begin: func(x *world) { x.handover = true; x.proxies[0].base.HandOver("m1") }, heal: nothing},
+		{name: "planned", begin: func(x *world) { x.handover.Store(true); x.proxies[0].base.HandOver("m1") }, heal: nothing},
 	}
 }
 
@@ -161,16 +161,14 @@
 	defer cleanUp()
 	jitter := time.Duration(x.rng.IntN(400)) * time.Millisecond
 	time.Sleep(faultAt + jitter)
-	quiet := len(x.acks)
+	quiet := x.ackTimes()
 	f.begin(x)
 	began := time.Now()
 	time.Sleep(healAt - faultAt)
 	f.heal(x)
 	time.Sleep(runEnds - healAt)
-	o := outcome{gap: x.gap(began.Add(f.allowed), time.Now()), missing: x.missing(), falsely: x.falsely}
-	for _, a := range x.acks[:quiet] {
-		o.acks = append(o.acks, a.took)
-	}
+	o := outcome{gap: x.gap(began.Add(f.allowed), time.Now()), missing: x.missing(), falsely: x.countedFalse()}
+	o.acks = quiet
 	slices.Sort(o.acks)
 	return o
 }
--- a/internal/ctrl/spread_test.go
+++ b/internal/ctrl/spread_test.go
@@ -51,8 +51,6 @@
 		s.hosts = append(s.hosts, book.Host{Name: fmt.Sprintf("p%d", i), Region: regionOf(i, count)})
 	}
 	log, stopLog := event.New(io.Discard)
-	s.put(book.Hosts, book.HostsDoc{Serial: 1, Hosts: s.hosts})
-	s.put(book.Databases, book.DatabasesDoc{Serial: 1})
 	for _, h := range s.hosts {
 		n := &spreadNode{net: s, host: h}
 		n.books, n.stop = ctrl.NewBooks(ctrl.BooksOptions{
@@ -61,6 +59,9 @@
 		})
 		s.nodes = append(s.nodes, n)
 	}
+	// The first documents come once all proxies are there to be spread to.
+	s.put(book.Hosts, book.HostsDoc{Serial: 1, Hosts: s.hosts})
+	s.put(book.Databases, book.DatabasesDoc{Serial: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -293,7 +294,7 @@
 	list := x.list()
 	list[0].Leaving = true
 	began := time.Now()
-	x.handover = true
+	x.handover.Store(true)
 	for _, p := range x.proxies {
 		p.base.SetMembers(list)
 	}
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -68,7 +68,7 @@
 	lastWork map[string]time.Time
 	acks     []ack
 	falsely  int
-	handover bool
+	handover atomic.Bool
 	doubled  atomic.Bool
 	// quiet keeps the writers from writing.
 	quiet   atomic.Bool
@@ -443,7 +443,7 @@
 			peers++
 		}
 	}
-	return reached >= group.Majority(proxyCount) && peers >= group.Majority(memberCount) && !x.handover
+	return reached >= group.Majority(proxyCount) && peers >= group.Majority(memberCount) && !x.handover.Load()
 }
 
 func (x *world) countFalse() {
@@ -452,6 +452,12 @@
 	x.falsely++
 }
 
+func (x *world) countedFalse() int {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.falsely
+}
+
 // latest returns the primary of the highest term.
 func (x *world) latest() *fakeMember {
 	var best *fakeMember
@@ -574,6 +580,17 @@
 	}
 }
 
+// ackTimes returns how long each acknowledged write took so far.
+func (x *world) ackTimes() []time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	times := make([]time.Duration, 0, len(x.acks))
+	for _, a := range x.acks {
+		times = append(times, a.took)
+	}
+	return times
+}
+
 // gap returns the longest time without an acknowledgement after the given time.
 func (x *world) gap(from, to time.Time) time.Duration {
 	x.mu.Lock()
