--- a/internal/labset/bench_test.go
+++ b/internal/labset/bench_test.go
@@ -95,12 +95,15 @@
 }
 
 // BenchmarkProxyOverhead compares statements through a proxy with the same ones
-// sent to a member, in real time on the same cores.
+// sent to a member, in real time on the same cores. Through the proxy at most as
+// many run at a time as the member has slots.
 func BenchmarkProxyOverhead(b *testing.B) {
 	token := map[string]string{"poplarrouter.kind": "stock", "poplarrouter.floor": ""}
 	for name, settings := range map[string]map[string]string{"production": token, "production/barrier": stock} {
 		b.Run(name, func(b *testing.B) {
 			set := benchSet(b, 3)
+			// With one replica left, both ways use the same member.
+			set.StopMember(2)
 			direct := "postgres://caller@" + set.Members()[1].Address() + "/stock?sslmode=disable"
 			readOnly := map[string]string{"options": "-c default_transaction_read_only=on"}
 			for b.Loop() {
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -215,14 +216,37 @@
 	return err
 }
 
-// freeAddress returns an address on which nothing listens.
-func freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		return "", err
+// The ports that FreeAddress gives lie below those that the system gives to
+// outgoing connections, which could otherwise take one before it is used.
+const (
+	lowestPort = 15_000
+	portCount  = 15_000
+	portTries  = 100
+)
+
+// NoPortError reports that no free port was found.
+type NoPortError struct{ Last error }
+
+// Error implements error.
+func (e *NoPortError) Error() string {
+	return "find port: none of the ports tried is free: " + e.Last.Error()
+}
+
+// Unwrap returns the cause.
+func (e *NoPortError) Unwrap() error { return e.Last }
+
+// FreeAddress returns an address of this machine on which nothing listens.
+func FreeAddress() (string, error) {
+	var last error
+	for range portTries {
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		listener, err := net.Listen("tcp", address)
+		if err == nil {
+			return address, listener.Close()
+		}
+		last = err
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String(), nil
+	return "", &NoPortError{Last: last}
 }
 
 func (s *Set) settings(i int) (config.Settings, error) {
@@ -250,10 +274,10 @@
 	c.StoreAddress = storeAddress
 	c.PeerSecret, c.OperatorSecret = Secret, Secret
 	var err error
-	if c.PeerAddress, err = freeAddress(); err != nil {
+	if c.PeerAddress, err = FreeAddress(); err != nil {
 		return c, err
 	}
-	c.OperatorAddress, err = freeAddress()
+	c.OperatorAddress, err = FreeAddress()
 	return c, err
 }
 
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -59,10 +58,9 @@
 }
 
 func (s *site) free() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := labset.FreeAddress()
 	s.Expect(err).NotTo(HaveOccurred())
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	return address
 }
 
 // start runs a program until the test ends.
