A refused commit has no position to confirm

Cause, found by reading: when a primary was fenced between a statement and its commit, the proxy took the fenced member's position as that of the write and waited for its confirmation; if a majority had left the term by then, the caller was told unknown in place of the write being sent to the next primary. Change: a refused batch sets no position; the mark of a refusal is cleared before each try.

--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -43,6 +43,7 @@
 		primary, _ := v.Writable()
 		r.targets = []view.Member{primary}
 		f.Log.Emit(event.WriteRouted, f.routed(r, primary, "primary of the term", v.Term()))
+		r.refused = false
 		err := next(ctx, r)
 		if !r.refused && !unreachable(err) {
 			return err
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -71,6 +71,7 @@
 	}
 	f.Guard.Assert(guard.WholeAnswer, answer.Whole, event.Fields{"CallerID": r.Caller.ID, "Member": l.Member.Name})
 	f.assertRead(r)
+	r.refused = l.MayWrite && !r.pinned && !r.Out.Sent() && refusedAsReplica(r.Batch, answer)
 	if l.MayWrite {
 		if err := f.readPosition(r); err != nil {
 			f.drop(r, false)
@@ -80,7 +81,6 @@
 	if answer.Status == wire.Idle {
 		f.drop(r, !answer.Dirty)
 	}
-	r.refused = l.MayWrite && !r.pinned && !r.Out.Sent() && refusedAsReplica(r.Batch, answer)
 	if r.refused {
 		// The member executed nothing, so that the work may be sent again.
 		r.sends = 0
@@ -103,13 +103,14 @@
 }
 
 // readPosition reads the member's position after the batch. Outside a
-// transaction it is at or past everything that the batch committed.
+// transaction it is at or past everything that the batch committed. A batch that
+// was refused committed nothing, and has no position to confirm.
 func (f *filters) readPosition(r *Request) error {
 	row, err := wire.ReadRow(r.Lease.Frontend)
 	if err != nil {
 		return err
 	}
-	if r.Answer.Status != wire.Idle || r.Answer.Completed == 0 {
+	if r.refused || r.Answer.Status != wire.Idle || r.Answer.Completed == 0 {
 		return nil
 	}
 	if len(row) != 1 {
--- /dev/null
+++ b/internal/chain/run_test.go
@@ -0,0 +1,142 @@
+package chain
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// scriptedMember logs one proxy in, and answers its first batch and the question
+// behind it with given messages.
+func scriptedMember(t *testing.T, answer ...pgproto3.BackendMessage) string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	go func() {
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		b := pgproto3.NewBackend(conn, conn)
+		_, _ = b.ReceiveStartupMessage()
+		b.Send(&pgproto3.AuthenticationOk{})
+		b.Send(&pgproto3.ReadyForQuery{TxStatus: wire.Idle})
+		_ = b.Flush()
+		for {
+			message, err := b.Receive()
+			if err != nil {
+				return
+			}
+			if _, status := message.(*pgproto3.Query); status {
+				break
+			}
+		}
+		for _, m := range answer {
+			b.Send(m)
+		}
+		_ = b.Flush()
+		_, _ = io.Copy(io.Discard, conn)
+	}()
+	return listener.Addr().String()
+}
+
+// sink is a caller that keeps what it is told.
+type sink struct {
+	net.Conn
+	told bytes.Buffer
+}
+
+func (s *sink) Write(p []byte) (int, error)      { return s.told.Write(p) }
+func (s *sink) SetWriteDeadline(time.Time) error { return nil }
+
+// runOn runs one extended statement that may write on a scripted member.
+func runOn(t *testing.T, address string) (*Request, error) {
+	g := NewWithT(t)
+	log, stopLog := event.New(io.Discard)
+	t.Cleanup(stopLog)
+	broken := func(p guard.Promise) { t.Errorf("promise %s is broken", p) }
+	f := &filters{Options: Options{Log: log, Guard: guard.New(log, prometheus.NewRegistry(), broken), HeldBytes: 1 << 10}}
+	pool, closePool := member.NewPool(address, member.Login{User: "u"}, 1, time.Minute)
+	t.Cleanup(closePool)
+	conn, err := pool.Get(context.Background(), member.ReadWrite)
+	g.Expect(err).NotTo(HaveOccurred())
+	c := wire.NewCollector(1 << 10)
+	var batch *wire.Batch
+	for _, m := range []pgproto3.FrontendMessage{&pgproto3.Parse{Query: "INSERT"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{}} {
+		batch, err = c.Add(m)
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	r := &Request{
+		Batch: batch, Out: wire.NewWriter(&sink{}), Track: func(*Lease) {}, Deadline: time.Now().Add(time.Minute),
+		Lease: &Lease{Conn: conn, Member: view.Member{Name: "m"}, MayWrite: true, pool: pool, done: func() {}},
+	}
+	return r, f.run(context.Background(), r)
+}
+
+func stateRow(s group.State) []pgproto3.BackendMessage {
+	return []pgproto3.BackendMessage{
+		&pgproto3.DataRow{Values: [][]byte{[]byte(member.FormatState(s))}},
+		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: wire.Idle},
+	}
+}
+
+var (
+	accepted  = []pgproto3.BackendMessage{&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}}
+	refusal   = &pgproto3.ErrorResponse{Code: readOnlyState}
+	idle      = &pgproto3.ReadyForQuery{TxStatus: wire.Idle}
+	committed = group.State{Role: group.Primary, Term: 3, EntryTerm: 3, Received: 12}
+)
+
+func script(parts ...[]pgproto3.BackendMessage) []pgproto3.BackendMessage {
+	var all []pgproto3.BackendMessage
+	for _, p := range parts {
+		all = append(all, p...)
+	}
+	return all
+}
+
+func TestAWriteHasThePositionBehindIt(t *testing.T) {
+	g := NewWithT(t)
+	r, err := runOn(t, scriptedMember(t, script(accepted, []pgproto3.BackendMessage{idle}, stateRow(committed))...))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.Committed).To(Equal(group.Floor{Term: 3, Position: 12}))
+	g.Expect(r.Sent()).To(BeTrue())
+	g.Expect(r.refused).To(BeFalse())
+}
+
+// TestACommitThatIsRefusedMayBeSentAgain has the primary fenced between the
+// statement and its commit.
+func TestACommitThatIsRefusedMayBeSentAgain(t *testing.T) {
+	g := NewWithT(t)
+	fenced := committed
+	fenced.Fence = 4
+	r, err := runOn(t, scriptedMember(t, script(accepted, []pgproto3.BackendMessage{refusal, idle}, stateRow(fenced))...))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(r.refused).To(BeTrue())
+	g.Expect(r.Committed.IsZero()).To(BeTrue(), "nothing was committed that could be confirmed")
+	g.Expect(r.Sent()).To(BeFalse())
+}
+
+func TestAMemberThatBreaksOffLeavesTheOutcomeUnknown(t *testing.T) {
+	g := NewWithT(t)
+	r, err := runOn(t, scriptedMember(t, script(accepted, []pgproto3.BackendMessage{idle}, []pgproto3.BackendMessage{&pgproto3.ErrorResponse{Code: "57014"}, idle})...))
+	g.Expect(err).To(HaveOccurred(), "the position behind the write is not known")
+	g.Expect(err.Error()).To(ContainSubstring("unconfirmed"))
+	g.Expect(r.Committed.IsZero()).To(BeTrue())
+}
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -11,6 +11,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"sync"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/app"
@@ -154,13 +155,7 @@
 		if err != nil {
 			return err
 		}
-		stopped := false
-		stop := func() {
-			if !stopped {
-				stopped = true
-				cleanUp()
-			}
-		}
+		stop := sync.OnceFunc(cleanUp)
 		s.members = append(s.members, m)
 		s.stops = append(s.stops, stop)
 		s.cleanUps = append(s.cleanUps, stop)
@@ -343,13 +338,7 @@
 	if err != nil {
 		return err
 	}
-	stopped := false
-	stop := func() {
-		if !stopped {
-			stopped = true
-			cleanUp()
-		}
-	}
+	stop := sync.OnceFunc(cleanUp)
 	s.proxies = append(s.proxies, &Proxy{Proxy: proxy, Settings: settings, stop: stop})
 	s.cleanUps = append(s.cleanUps, stop)
 	return nil
