Stand-in proxies let the system pick their ports

Change: the set starts its proxies on ports that the system picks, and lists them once they are known; only separate processes still look for free ports.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -35,6 +35,8 @@
 	front    *front.Front
 	log      *event.Log
 	leaving  *leaving
+	mesh     *peer.Mesh
+	operator *operator
 }
 
 // StartError reports a part of the proxy that could not be started.
@@ -58,8 +60,8 @@
 		fx.Provide(
 			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newBooks, newBases, newSlots, newHandler, newLeaving, newFront, newOperator,
 		),
-		fx.Populate(&p.front, &p.log, &p.leaving),
-		fx.Invoke(joinMesh, func(*operator) {}),
+		fx.Populate(&p.front, &p.log, &p.leaving, &p.mesh, &p.operator),
+		fx.Invoke(joinMesh),
 	)
 	ctx, cancel := context.WithTimeout(context.Background(), startTimeout)
 	defer cancel()
@@ -75,6 +77,12 @@
 // Address returns the address on which callers connect.
 func (p *Proxy) Address() string { return p.front.Address() }
 
+// PeerAddress returns the address on which other proxies connect.
+func (p *Proxy) PeerAddress() string { return p.mesh.Address() }
+
+// OperatorAddress returns the address of health, metrics and orders.
+func (p *Proxy) OperatorAddress() string { return p.operator.address }
+
 // Leave returns a channel that closes when an operator orders the proxy to leave.
 func (p *Proxy) Leave() <-chan struct{} { return p.leaving.asked }
 
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -45,6 +45,7 @@
 	gates    *gate.Dispatch
 	mesh     *peer.Mesh
 	drained  *leaving
+	address  string
 }
 
 func newOperator(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, f *front.Front, gates *gate.Dispatch, mesh *peer.Mesh, registry *prometheus.Registry, l *leaving) (*operator, error) {
@@ -53,6 +54,7 @@
 	if err != nil {
 		return nil, err
 	}
+	o.address = listener.Addr().String()
 	const headerTimeout = 5 * time.Second
 	server := &http.Server{Handler: o.routes(registry), ReadHeaderTimeout: headerTimeout}
 	done := duty.Start(context.Background(), func(context.Context) error { return server.Serve(listener) })
--- a/internal/labset/cost_test.go
+++ b/internal/labset/cost_test.go
@@ -95,10 +95,7 @@
 
 func observeProxy(b *testing.B, storeAddress, seed string, databases int) {
 	b.Helper()
-	settings, err := labset.SettingsOf("observed", storeAddress)
-	if err != nil {
-		b.Fatal(err)
-	}
+	settings := labset.SettingsOf("observed", storeAddress)
 	settings.Seeds = []string{seed}
 	if err := labset.Multiply(context.Background(), storeAddress, databases); err != nil {
 		b.Fatal(err)
@@ -108,14 +105,13 @@
 		b.Fatal(err)
 	}
 	defer cleanUp()
-	_ = proxy
 	time.Sleep(settleTime)
-	bytesBefore, cpuBefore := scrape(b, settings.OperatorAddress), cpuTime()
+	bytesBefore, cpuBefore := scrape(b, proxy.OperatorAddress()), cpuTime()
 	began := time.Now()
 	time.Sleep(costTime)
 	seconds := time.Since(began).Seconds()
 	b.ReportMetric(100*(cpuTime()-cpuBefore).Seconds()/seconds, "cpu-%")
-	b.ReportMetric((scrape(b, settings.OperatorAddress)-bytesBefore)/seconds, "bytes/s")
+	b.ReportMetric((scrape(b, proxy.OperatorAddress())-bytesBefore)/seconds, "bytes/s")
 	b.ReportMetric(inUse()/(1<<20), "heap-MB")
 }
 
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -116,6 +116,12 @@
 func (s *Set) StartProxyLike(i int, host string) (*Proxy, error) {
 	settings := s.proxies[i].Settings
 	settings.Host = host
+	settings.CallerAddress, settings.PeerAddress, settings.OperatorAddress = anyPort, anyPort, anyPort
+	for j, p := range s.proxies {
+		if j != i {
+			settings.Seeds = append(settings.Seeds, p.Settings.PeerAddress)
+		}
+	}
 	s.proxies[i].Stop()
 	if err := s.startProxy(settings); err != nil {
 		return nil, err
@@ -244,13 +250,13 @@
 	return "", &NoPortError{Last: last}
 }
 
-func (s *Set) settings(i int) (config.Settings, error) {
-	c, err := SettingsOf(fmt.Sprintf("host-%d", i+1), s.address)
+func (s *Set) settings(i int) config.Settings {
+	c := SettingsOf(fmt.Sprintf("host-%d", i+1), s.address)
 	c.Region = s.region(i, s.options.Proxies)
-	if err == nil && s.options.Settings != nil {
+	if s.options.Settings != nil {
 		s.options.Settings(&c)
 	}
-	return c, err
+	return c
 }
 
 func (s *Set) region(i, of int) string {
@@ -260,20 +266,18 @@
 	return "region-1"
 }
 
+// anyPort lets the system pick the port.
+const anyPort = "127.0.0.1:0"
+
 // SettingsOf returns the settings of a proxy of the set beside the store at the
-// given address.
-func SettingsOf(host, storeAddress string) (config.Settings, error) {
+// given address. The system picks its ports.
+func SettingsOf(host, storeAddress string) config.Settings {
 	c := config.Default()
 	c.Place = config.Place{Host: host, DataCentre: "dc-1", Region: "region-1"}
-	c.CallerAddress = "127.0.0.1:0"
+	c.CallerAddress, c.PeerAddress, c.OperatorAddress = anyPort, anyPort, anyPort
 	c.StoreAddress = storeAddress
 	c.PeerSecret, c.OperatorSecret = Secret, Secret
-	var err error
-	if c.PeerAddress, err = FreeAddress(); err != nil {
-		return c, err
-	}
-	c.OperatorAddress, err = FreeAddress()
-	return c, err
+	return c
 }
 
 // Multiply lists the set's database under so many further names, all with the
@@ -303,34 +307,17 @@
 	return err
 }
 
+// startProxies starts the proxies, and lists them once their ports are known.
 func (s *Set) startProxies() error {
-	all := make([]config.Settings, s.options.Proxies)
 	hosts := book.HostsDoc{Serial: 1}
-	for i := range all {
-		var err error
-		if all[i], err = s.settings(i); err != nil {
-			return err
-		}
-		hosts.Hosts = append(hosts.Hosts, book.Host{
-			Name: all[i].Host, DataCentre: all[i].DataCentre, Region: all[i].Region, PeerAddress: all[i].PeerAddress,
-		})
-	}
-	for i := range all {
-		for j, h := range hosts.Hosts {
-			if j != i {
-				all[i].Seeds = append(all[i].Seeds, h.PeerAddress)
-			}
-		}
-	}
-	if err := s.Put(book.Hosts, hosts); err != nil {
-		return err
-	}
-	for _, settings := range all {
-		if err := s.startProxy(settings); err != nil {
+	for i := range s.options.Proxies {
+		if err := s.startProxy(s.settings(i)); err != nil {
 			return err
 		}
+		c := s.proxies[i].Settings
+		hosts.Hosts = append(hosts.Hosts, book.Host{Name: c.Host, DataCentre: c.DataCentre, Region: c.Region, PeerAddress: c.PeerAddress})
 	}
-	return nil
+	return s.Put(book.Hosts, hosts)
 }
 
 func (s *Set) startProxy(settings config.Settings) error {
@@ -339,6 +326,7 @@
 		return err
 	}
 	stop := sync.OnceFunc(cleanUp)
+	settings.PeerAddress, settings.OperatorAddress = proxy.PeerAddress(), proxy.OperatorAddress()
 	s.proxies = append(s.proxies, &Proxy{Proxy: proxy, Settings: settings, stop: stop})
 	s.cleanUps = append(s.cleanUps, stop)
 	return nil
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -109,9 +109,9 @@
 	hosts := book.HostsDoc{Serial: 1}
 	s.store = s.free()
 	for i := range 3 {
-		settings, err := labset.SettingsOf(fmt.Sprintf("host-%d", i+1), s.store)
-		s.Expect(err).NotTo(HaveOccurred())
-		settings.CallerAddress, settings.Seeds = s.free(), []string{}
+		settings := labset.SettingsOf(fmt.Sprintf("host-%d", i+1), s.store)
+		settings.CallerAddress, settings.PeerAddress, settings.OperatorAddress = s.free(), s.free(), s.free()
+		settings.Seeds = []string{}
 		s.proxies = append(s.proxies, &process{settings: settings})
 		hosts.Hosts = append(hosts.Hosts, book.Host{Name: settings.Host, DataCentre: "dc-1", Region: "region-1", PeerAddress: settings.PeerAddress})
 	}
