One pause, one way to reach a member with an order; no scan for a standing slot station

Found on reading the whole change once more: - the wait for a time or the context's end stood four times (gate, labdb, books, accept): duty.Pause serves them. - command and follow reached their member by the same lines: Base.reach does. - each request scanned the listed databases for a slot count that only a new station needs: looked up there now. Behaviour and tests are as they were.

--- a/internal/ctrl/books.go
+++ b/internal/ctrl/books.go
@@ -125,7 +125,7 @@
 		case errors.As(err, &unchanged) || ctx.Err() != nil:
 		default:
 			b.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "watch", "Kind": kind, "Cause": err.Error()})
-			b.pause(ctx)
+			duty.Pause(ctx, b.options.Retry)
 		}
 	}
 	return nil
@@ -140,13 +140,6 @@
 	b.Take(doc)
 }
 
-func (b *Books) pause(ctx context.Context) {
-	select {
-	case <-time.After(b.options.Retry):
-	case <-ctx.Done():
-	}
-}
-
 // chosen tells whether this proxy watches the store for its region. A few
 // watchers in each region fetch a document over the link between regions once
 // or twice, and a region that is cut off does not hold up the others.
--- a/internal/ctrl/order.go
+++ b/internal/ctrl/order.go
@@ -111,43 +111,45 @@
 
 type commandFunc func(member.Control, context.Context, group.Term, string) (group.State, error)
 
-// command gives one order to one member over a connection of its own, since the
-// poller's may be stuck.
-func (b *Base) command(ctx context.Context, o elect.Order, give commandFunc) error {
+// reach calls give with a connection of its own to a member, since the poller's
+// may be stuck. A member that is no longer listed is left alone.
+func (b *Base) reach(ctx context.Context, name string, give func(context.Context, member.Control) error) error {
 	ctx, cancel := context.WithTimeout(ctx, b.options.Timeout)
 	defer cancel()
-	target, found := b.View().Member(o.Member)
+	target, found := b.View().Member(name)
 	if !found {
 		return nil
 	}
 	control := b.options.Dial(target)
 	defer control.Close()
-	asked := time.Now()
-	state, err := give(control, ctx, o.Claim.Term, o.Claim.Promoter+"/"+o.Claim.Attempt)
-	var refused *member.RefusedError
-	answer := elect.Answer{Member: o.Member, Term: o.Claim.Term, Refused: errors.As(err, &refused), Failed: err != nil, State: state}
-	b.options.Log.Emit(event.FenceAnswered, event.Fields{
-		"Database": b.name, "Member": o.Member, "Term": o.Claim.Term, "Refused": answer.Refused, "Failed": answer.Failed,
+	return give(ctx, control)
+}
+
+// command gives an order of a promotion to a member.
+func (b *Base) command(ctx context.Context, o elect.Order, give commandFunc) error {
+	return b.reach(ctx, o.Member, func(ctx context.Context, control member.Control) error {
+		asked := time.Now()
+		state, err := give(control, ctx, o.Claim.Term, o.Claim.Promoter+"/"+o.Claim.Attempt)
+		var refused *member.RefusedError
+		answer := elect.Answer{Member: o.Member, Term: o.Claim.Term, Refused: errors.As(err, &refused), Failed: err != nil, State: state}
+		b.options.Log.Emit(event.FenceAnswered, event.Fields{
+			"Database": b.name, "Member": o.Member, "Term": o.Claim.Term, "Refused": answer.Refused, "Failed": answer.Failed,
+		})
+		if err == nil {
+			b.inputs.Offer(input{report: &view.Report{Member: o.Member, Asked: asked, Heard: time.Now(), State: state}})
+		}
+		b.inputs.Offer(input{event: elect.Event{Answer: &answer}})
+		return err
 	})
-	if err == nil {
-		b.inputs.Offer(input{report: &view.Report{Member: o.Member, Asked: asked, Heard: time.Now(), State: state}})
-	}
-	b.inputs.Offer(input{event: elect.Event{Answer: &answer}})
-	return err
 }
 
+// follow tells a member to follow the primary.
 func (b *Base) follow(ctx context.Context, f elect.Follow) error {
-	ctx, cancel := context.WithTimeout(ctx, b.options.Timeout)
-	defer cancel()
-	target, found := b.View().Member(f.Member)
-	if !found {
-		return nil
-	}
-	control := b.options.Dial(target)
-	defer control.Close()
-	_, err := control.Follow(ctx, f.Term, f.Leader.Address, f.Starts)
-	b.options.Log.Emit(event.MemberFollows, event.Fields{
-		"Database": b.name, "Member": f.Member, "Primary": f.Leader.Name, "Term": f.Term, "Done": err == nil,
+	return b.reach(ctx, f.Member, func(ctx context.Context, control member.Control) error {
+		_, err := control.Follow(ctx, f.Term, f.Leader.Address, f.Starts)
+		b.options.Log.Emit(event.MemberFollows, event.Fields{
+			"Database": b.name, "Member": f.Member, "Primary": f.Leader.Name, "Term": f.Term, "Done": err == nil,
+		})
+		return err
 	})
-	return err
 }
--- a/internal/duty/accept.go
+++ b/internal/duty/accept.go
@@ -29,9 +29,8 @@
 		case errors.Is(err, net.ErrClosed):
 			return err
 		}
-		select {
-		case <-time.After(pause):
-		case <-ctx.Done():
+		Pause(ctx, pause)
+		if ctx.Err() != nil {
 			return ctx.Err()
 		}
 		pause = min(2*pause, longestPause)
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -9,6 +9,7 @@
 	"context"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // Start runs f in a goroutine and returns the channel on which its end is
@@ -62,6 +63,14 @@
 // Dropped returns how many items found no room.
 func (r *Ring[T]) Dropped() uint64 { return r.dropped.Load() }
 
+// Pause waits for a time, or until the context ends.
+func Pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 // Group owns duties that end by themselves.
 type Group struct {
 	running sync.WaitGroup
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -130,7 +130,6 @@
 	if !found {
 		return nil
 	}
-	listed, _ := d.options.Books.Book().Database(database)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	key := database + "/" + m.Name
@@ -141,6 +140,7 @@
 	if found {
 		go owned.stop()
 	}
+	listed, _ := d.options.Books.Book().Database(database)
 	s := &station{dispatch: d, database: database, member: m, base: base, gate: duty.NewCell[*Gate](nil), holder: duty.NewCell(""), slots: max(listed.Slots, 1)}
 	d.stations[key] = &ownedStation{station: s, stop: duty.Run(s.run)}
 	return s
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -100,18 +100,11 @@
 			s.evict(ctx)
 		case Wait:
 		}
-		pause(ctx, lookPeriod)
+		duty.Pause(ctx, lookPeriod)
 	}
 	return nil
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
-
 func (s *station) look(now time.Time) Sight {
 	o := s.dispatch.options
 	sight := Sight{Self: o.Host, Place: -1, Silence: o.Silence}
@@ -189,7 +182,7 @@
 // settleTime is over, and returns how many are still in use.
 func (s *station) settle(ctx context.Context, control member.Control, state group.State) int {
 	began := time.Now()
-	pause(ctx, firstWait)
+	duty.Pause(ctx, firstWait)
 	for {
 		next, err := s.ask(ctx, control.Ask)
 		if err == nil {
@@ -198,7 +191,7 @@
 		if state.Active == 0 || time.Since(began) >= settleTime || ctx.Err() != nil || err != nil {
 			return state.Active
 		}
-		pause(ctx, settleLook)
+		duty.Pause(ctx, settleLook)
 	}
 }
 
@@ -206,7 +199,7 @@
 // before are added to the gate as the member is found to use fewer.
 func (s *station) keep(ctx context.Context, control member.Control, g *Gate, taken int) {
 	for {
-		pause(ctx, pingPeriod)
+		duty.Pause(ctx, pingPeriod)
 		if ctx.Err() != nil {
 			return
 		}
--- a/internal/labdb/follow.go
+++ b/internal/labdb/follow.go
@@ -103,9 +103,9 @@
 			wait(ctx, changed)
 			continue
 		}
-		sleep(ctx, time.Until(entry.Arrived.Add(m.options.ApplyLag)))
+		duty.Pause(ctx, time.Until(entry.Arrived.Add(m.options.ApplyLag)))
 		if err := m.applyEntry(ctx, entry, at); err != nil {
-			sleep(ctx, retryDelay)
+			duty.Pause(ctx, retryDelay)
 		}
 	}
 	return ctx.Err()
@@ -157,10 +157,3 @@
 	case <-ctx.Done():
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-time.After(d):
-	case <-ctx.Done():
-	}
-}
--- a/internal/labdb/run.go
+++ b/internal/labdb/run.go
@@ -7,6 +7,7 @@
 
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/lablog"
 )
 
@@ -229,7 +230,7 @@
 		return ctx.Err()
 	}
 	defer func() { <-s.member.slots }()
-	sleep(ctx, s.member.options.ServiceTime+sleepTime(p.text))
+	duty.Pause(ctx, s.member.options.ServiceTime+sleepTime(p.text))
 	if ctx.Err() != nil {
 		return ctx.Err()
 	}
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -14,6 +14,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgproto3"
 
+	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/lablog"
 )
 
@@ -105,7 +106,7 @@
 		return false
 	case *pgproto3.StartupMessage:
 		s.readOnly = strings.Contains(start.Parameters["options"], "default_transaction_read_only=on")
-		sleep(ctx, s.member.options.ConnectDelay)
+		duty.Pause(ctx, s.member.options.ConnectDelay)
 		return s.greet()
 	default:
 		return false
