Every proxy dispatches what it watches, in whatever order it learns of it

Where the dispatch was first, it found no watch yet and started no station; only a request or another document made it try again. With no callers and all three proxies losing that race, nobody took the dispatch. Ruled out: a dead member or store (all proxies were ready, the member answered). Change: the dispatch follows the watches themselves (Bases.Watched). Found on the way, by reading, and mended with a test each: - a database dropped from the list kept its stations, and one with another number of slots kept the old number until restart; - a member listed under a new address was asked at the old one for ever, and its pool of connections stayed; - any new document opened a closed, leaving member again for up to 50 ms.

--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -37,11 +37,19 @@
 type Bases struct {
 	options BasesOptions
 
+	watched *duty.Cell[[]Watched]
+
 	mu    sync.Mutex
 	bases map[string]*served
 	pools map[poolKey]ownedPool
 }
 
+// Watched is a listed database and the watch over it.
+type Watched struct {
+	book.Database
+	Base *Base
+}
+
 type served struct {
 	base *Base
 	stop func()
@@ -59,7 +67,7 @@
 
 // NewBases starts the controller and returns it with its clean-up function.
 func NewBases(options BasesOptions) (*Bases, func()) {
-	b := &Bases{options: options, bases: make(map[string]*served), pools: make(map[poolKey]ownedPool)}
+	b := &Bases{options: options, watched: duty.NewCell[[]Watched](nil), bases: make(map[string]*served), pools: make(map[poolKey]ownedPool)}
 	b.options.Base.Replaced = b.sever
 	stop := duty.Run(b.follow)
 	return b, func() {
@@ -79,6 +87,10 @@
 	return s.base, true
 }
 
+// Watched returns the databases that are watched, and a channel that closes when
+// they change.
+func (b *Bases) Watched() ([]Watched, <-chan struct{}) { return b.watched.Watch() }
+
 // Names returns the names of the databases that are watched.
 func (b *Bases) Names() []string {
 	b.mu.Lock()
@@ -170,6 +182,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	hosts := held.LiveHosts()
+	var watched []Watched
 	for _, d := range held.Databases() {
 		s, found := b.bases[d.Name]
 		if !found {
@@ -179,6 +192,7 @@
 		}
 		s.base.SetMembers(d.Members)
 		s.base.SetWatchers(pick.First(d.Name, hosts, maxWatchers))
+		watched = append(watched, Watched{Database: d, Base: s.base})
 	}
 	for name, s := range b.bases {
 		if _, listed := held.Database(name); !listed {
@@ -186,6 +200,26 @@
 			delete(b.bases, name)
 		}
 	}
+	b.closePools(watched)
+	b.watched.Store(watched)
+}
+
+// closePools closes the pools of members that are no longer listed. The
+// connections that they have lent are closed when they are given back. The lock
+// must be held.
+func (b *Bases) closePools(watched []Watched) {
+	listed := make(map[poolKey]bool)
+	for _, w := range watched {
+		for _, m := range w.Members {
+			listed[poolKey{database: w.Name, address: m.Address}] = true
+		}
+	}
+	for key, owned := range b.pools {
+		if !listed[key] {
+			owned.stop()
+			delete(b.pools, key)
+		}
+	}
 }
 
 func (b *Bases) close() {
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -11,8 +11,9 @@
 
 // poller is the duty that asks one member.
 type poller struct {
-	poke chan struct{}
-	stop func()
+	address string
+	poke    chan struct{}
+	stop    func()
 }
 
 func (b *Base) pokeAll() {
@@ -29,24 +30,26 @@
 }
 
 // startPollers starts a duty for each member that has none, and ends those of
-// members that are gone.
+// members that are gone or have moved to another address.
 func (b *Base) startPollers(members []view.Member) {
-	known := make(map[string]bool)
+	addresses := make(map[string]string)
 	for _, m := range members {
-		known[m.Name] = true
-		if _, found := b.pollers[m.Name]; found {
-			continue
-		}
-		p := poller{poke: make(chan struct{}, 1)}
-		p.stop = duty.Run(func(ctx context.Context) error { return b.pollMember(ctx, m, p.poke) })
-		b.pollers[m.Name] = p
+		addresses[m.Name] = m.Address
 	}
 	for name, p := range b.pollers {
-		if !known[name] {
+		if address, listed := addresses[name]; !listed || address != p.address {
 			p.stop()
 			delete(b.pollers, name)
 		}
 	}
+	for _, m := range members {
+		if _, found := b.pollers[m.Name]; found {
+			continue
+		}
+		p := poller{address: m.Address, poke: make(chan struct{}, 1)}
+		p.stop = duty.Run(func(ctx context.Context) error { return b.pollMember(ctx, m, p.poke) })
+		b.pollers[m.Name] = p
+	}
 }
 
 func (b *Base) stopPollers() {
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
@@ -24,7 +25,23 @@
 	Heard(host string) time.Time
 }
 
-var _ Peers = (*peer.Mesh)(nil)
+// Books holds the list of hosts.
+type Books interface {
+	// Book returns the newest documents.
+	Book() book.Book
+}
+
+// Bases tells which databases this proxy watches.
+type Bases interface {
+	// Watched returns the databases, and a channel that closes when they change.
+	Watched() ([]ctrl.Watched, <-chan struct{})
+}
+
+var (
+	_ Peers = (*peer.Mesh)(nil)
+	_ Books = (*ctrl.Books)(nil)
+	_ Bases = (*ctrl.Bases)(nil)
+)
 
 // Options are what a Dispatch depends on.
 type Options struct {
@@ -36,8 +53,8 @@
 	// Timeout ends a question to a member.
 	Timeout time.Duration
 	Peers   Peers
-	Books   *ctrl.Books
-	Bases   *ctrl.Bases
+	Books   Books
+	Bases   Bases
 	Dial    ctrl.Dialer
 	Log     *event.Log
 }
@@ -95,16 +112,13 @@
 	}
 }
 
-// follow is the duty that keeps a station for each listed member.
+// follow is the duty that keeps a station for each member of the watched
+// databases.
 func (d *Dispatch) follow(ctx context.Context) error {
-	defer d.stopAll()
+	defer d.keep(nil)
 	for {
-		held, changed := d.options.Books.Watch()
-		for _, database := range held.Databases() {
-			for _, m := range database.Members {
-				d.station(database.Name, m)
-			}
-		}
+		watched, changed := d.options.Bases.Watched()
+		d.keep(watched)
 		select {
 		case <-changed:
 		case <-ctx.Done():
@@ -113,37 +127,51 @@
 	}
 }
 
-func (d *Dispatch) stopAll() {
+// keep starts the stations that are missing, and ends those of members that are
+// no longer listed as they were.
+func (d *Dispatch) keep(watched []ctrl.Watched) {
+	wanted := make(map[string]*station)
+	for _, w := range watched {
+		for _, m := range w.Members {
+			s := newStation(d, w, m)
+			wanted[s.key()] = s
+		}
+	}
+	for _, ended := range d.exchange(wanted) {
+		ended.stop()
+	}
 	d.mu.Lock()
-	stations := d.stations
-	d.stations = make(map[string]*ownedStation)
-	d.mu.Unlock()
-	for _, s := range stations {
-		s.stop()
+	defer d.mu.Unlock()
+	for key, s := range wanted {
+		if d.stations[key] == nil {
+			d.stations[key] = &ownedStation{station: s, stop: duty.Run(s.run)}
+		}
 	}
 }
 
-// station returns this proxy's part for a member, and starts it if need be. It
-// returns nil for a member that is not watched yet.
-func (d *Dispatch) station(database string, m view.Member) *station {
-	base, found := d.options.Bases.Base(database)
-	if !found {
-		return nil
+// exchange takes the stations out that are not wanted as they are, and returns
+// them.
+func (d *Dispatch) exchange(wanted map[string]*station) []*ownedStation {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var ended []*ownedStation
+	for key, owned := range d.stations {
+		if s, found := wanted[key]; !found || !owned.same(s) {
+			ended = append(ended, owned)
+			delete(d.stations, key)
+		}
 	}
+	return ended
+}
+
+// station returns this proxy's part for a member, or nil if it has none yet.
+func (d *Dispatch) station(database, name string) *station {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	key := database + "/" + m.Name
-	owned, found := d.stations[key]
-	if found && owned.member.Address == m.Address {
+	if owned, found := d.stations[stationKey(database, name)]; found {
 		return owned.station
 	}
-	if found {
-		go owned.stop()
-	}
-	listed, _ := d.options.Books.Book().Database(database)
-	s := &station{dispatch: d, database: database, member: m, base: base, gate: duty.NewCell[*Gate](nil), holder: duty.NewCell(""), slots: max(listed.Slots, 1)}
-	d.stations[key] = &ownedStation{station: s, stop: duty.Run(s.run)}
-	return s
+	return nil
 }
 
 // place returns this proxy's place among the candidates to lead a member: the
@@ -182,11 +210,8 @@
 // Acquire implements chain.Slots. A request whose dispatcher changes while it
 // waits asks the next one.
 func (d *Dispatch) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (func(), error) {
-	s := d.station(database, m)
-	if s == nil {
-		return nil, fault.New(fault.Undispatched, "wait for slot", "database %q is not watched yet", database)
-	}
 	for {
+		s := d.station(database, m.Name)
 		release, err := d.acquireOnce(ctx, s, r)
 		if err == nil || fault.Of(err).Kind != fault.Undispatched || ctx.Err() != nil {
 			return release, err
@@ -198,6 +223,9 @@
 }
 
 func (d *Dispatch) acquireOnce(ctx context.Context, s *station, r *chain.Request) (func(), error) {
+	if s == nil {
+		return nil, fault.New(fault.Undispatched, "wait for slot", "the member is not watched yet")
+	}
 	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Deadline}
 	if g := s.gate.Load(); g != nil {
 		return g.Acquire(ctx, work)
@@ -219,10 +247,14 @@
 // looks again.
 const retryDelay = 50 * time.Millisecond
 
-// awaitChange waits until the member's dispatch may have changed.
+// awaitChange waits until the member's dispatch may have changed. A nil station
+// is one that is not there yet.
 func (s *station) awaitChange(ctx context.Context) bool {
-	_, led := s.gate.Watch()
-	_, named := s.holder.Watch()
+	var led, named <-chan struct{}
+	if s != nil {
+		_, led = s.gate.Watch()
+		_, named = s.holder.Watch()
+	}
 	select {
 	case <-led:
 	case <-named:
--- /dev/null
+++ b/internal/gate/dispatch_test.go
@@ -0,0 +1,132 @@
+package gate_test
+
+import (
+	"context"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/gate"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+const self = "host-1"
+
+// alone is the one host, with no peers.
+type alone struct{}
+
+func (alone) Book() book.Book {
+	held, _, _ := book.Book{}.With(book.Doc{Kind: book.Hosts, Serial: 1, Body: []byte(`{"Serial":1,"Hosts":[{"Name":"` + self + `"}]}`)})
+	return held
+}
+func (alone) Send(string, peer.Frame) bool { return false }
+func (alone) Heard(string) time.Time       { return time.Time{} }
+
+// listing is what the proxy watches.
+type listing struct{ *duty.Cell[[]ctrl.Watched] }
+
+func (l listing) Watched() ([]ctrl.Watched, <-chan struct{}) { return l.Watch() }
+
+// dispatched is a member that only knows its dispatcher.
+type dispatched struct {
+	member.Control
+	mu    sync.Mutex
+	named string
+}
+
+func (d *dispatched) Close() {}
+
+func (d *dispatched) Ask(context.Context) (group.State, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return group.State{Role: group.Primary, Term: 1, Dispatcher: d.named}, nil
+}
+
+func (d *dispatched) Lead(ctx context.Context, host string) (group.State, error) {
+	d.mu.Lock()
+	d.named = host
+	d.mu.Unlock()
+	return d.Ask(ctx)
+}
+
+// lone starts the dispatch of one host, which watches nothing yet.
+func lone(t *testing.T) (*gate.Dispatch, func(slots int)) {
+	log, stopLog := event.New(io.Discard)
+	t.Cleanup(stopLog)
+	dial := func(view.Member) member.Control { return &dispatched{} }
+	only := view.Member{Name: "m0", Address: "a"}
+	base, stopBase := ctrl.NewBase(ctrl.BaseOptions{
+		Host: self, Rules: elect.RulesFor(time.Second), Poll: time.Second, Timeout: time.Second, Log: log, Dial: dial,
+	}, "stock", []view.Member{only})
+	t.Cleanup(stopBase)
+	watched := listing{duty.NewCell[[]ctrl.Watched](nil)}
+	d, cleanUp := gate.NewDispatch(gate.Options{
+		Host: self, Queue: 10, Silence: time.Second, Timeout: time.Second, Peers: alone{}, Books: alone{}, Bases: watched, Dial: dial, Log: log,
+	})
+	t.Cleanup(cleanUp)
+	return d, func(slots int) {
+		if slots == 0 {
+			watched.Store(nil)
+			return
+		}
+		watched.Store([]ctrl.Watched{{Database: book.Database{Name: "stock", Slots: slots, Members: []view.Member{only}}, Base: base}})
+	}
+}
+
+// free returns how many slots the host gives out, or -1 if it does not.
+func free(d *gate.Dispatch) int {
+	time.Sleep(time.Minute)
+	g, leads := d.Queues()["stock/m0"]
+	if !leads {
+		return -1
+	}
+	count, _ := g.Counts()
+	return count
+}
+
+func TestSlotsAreGivenOutAsListed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d, list := lone(t)
+		g.Expect(free(d)).To(Equal(-1))
+		list(5)
+		g.Expect(free(d)).To(Equal(5), "a database that is watched later, with no request for it")
+		list(7)
+		g.Expect(free(d)).To(Equal(7), "another number of slots")
+		list(0)
+		g.Expect(free(d)).To(Equal(-1), "a database that is no longer listed")
+	})
+}
+
+func TestARequestWaitsForADispatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d, list := lone(t)
+		time.AfterFunc(time.Second, func() { list(5) })
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		r := &chain.Request{Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
+		release, err := d.Acquire(ctx, "stock", view.Member{Name: "m0"}, r)
+		g.Expect(err).NotTo(HaveOccurred())
+		release()
+		list(0)
+		time.Sleep(time.Second)
+		short, cancelShort := context.WithTimeout(t.Context(), time.Second)
+		defer cancelShort()
+		_, err = d.Acquire(short, "stock", view.Member{Name: "m0"}, r)
+		g.Expect(err).To(HaveOccurred())
+	})
+}
--- a/internal/gate/remote.go
+++ b/internal/gate/remote.go
@@ -11,13 +11,10 @@
 
 // TakeWant takes another proxy's request for a slot.
 func (d *Dispatch) TakeWant(host string, w peer.Want, answer func(peer.Grant)) {
-	key := w.Database + "/" + w.Member
-	d.mu.Lock()
-	owned, found := d.stations[key]
-	d.mu.Unlock()
+	key := stationKey(w.Database, w.Member)
 	var g *Gate
-	if found {
-		g = owned.gate.Load()
+	if s := d.station(w.Database, w.Member); s != nil {
+		g = s.gate.Load()
 	}
 	if g == nil {
 		answer(peer.Grant{ID: w.ID, Refusal: fault.Undispatched, Detail: "proxy " + d.options.Host + " does not give out the slots of " + key})
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -89,6 +89,23 @@
 	vacant time.Time
 }
 
+func newStation(d *Dispatch, w ctrl.Watched, m view.Member) *station {
+	return &station{
+		dispatch: d,
+		database: w.Name,
+		member:   m,
+		base:     w.Base,
+		gate:     duty.NewCell[*Gate](nil),
+		holder:   duty.NewCell(""),
+		slots:    max(w.Slots, 1),
+	}
+}
+
+// same tells whether two stations serve a member in the same way.
+func (s *station) same(other *station) bool {
+	return s.base == other.base && s.member.Address == other.member.Address && s.member.Region == other.member.Region && s.slots == other.slots
+}
+
 // run is the duty that leads whenever it should.
 func (s *station) run(ctx context.Context) error {
 	s.vacant = time.Now()
@@ -131,7 +148,9 @@
 	return sight
 }
 
-func (s *station) key() string { return s.database + "/" + s.member.Name }
+func (s *station) key() string { return stationKey(s.database, s.member.Name) }
+
+func stationKey(database, member string) string { return database + "/" + member }
 
 func (s *station) evict(ctx context.Context) {
 	control := s.dispatch.options.Dial(s.member)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -106,15 +106,22 @@
 }
 
 // WithMembers returns the view with another list of members. Reports of members
-// that are gone are dropped.
+// that are gone, or have moved to another address, are dropped. A member that
+// was closed stays so for as long as it is leaving.
 func (v View) WithMembers(members []Member) View {
-	v.members = slices.Clone(members)
-	v.reports = maps.Clone(v.reports)
-	maps.DeleteFunc(v.reports, func(name string, _ Report) bool {
-		_, found := v.Member(name)
-		return !found
+	next := v
+	next.members = slices.Clone(members)
+	for i, m := range members {
+		was, found := v.Member(m.Name)
+		next.members[i].Closed = found && was.Closed && m.Leaving
+	}
+	next.reports = maps.Clone(v.reports)
+	maps.DeleteFunc(next.reports, func(name string, _ Report) bool {
+		was, _ := v.Member(name)
+		is, found := next.Member(name)
+		return !found || is.Address != was.Address
 	})
-	return v
+	return next
 }
 
 // WithClosed returns the view after a member has been leaving for too long.
--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -115,6 +115,21 @@
 	g.Expect(heard(v, "stranger", 20, primary(2, 99)).Term()).To(Equal(group.Term(1)))
 }
 
+func TestAChangedListKeepsWhatHolds(t *testing.T) {
+	g := NewWithT(t)
+	list := []view.Member{{Name: "a", Address: "1", Leaving: true}, {Name: "b", Address: "2"}}
+	v := heard(heard(view.New("d", list), "a", 0, primary(1, 5)), "b", 0, replica(1, 5, 5)).WithClosed("a")
+	moved := v.WithMembers([]view.Member{list[0], {Name: "b", Address: "3"}})
+	a, _ := moved.Member("a")
+	g.Expect(a.Closed).To(BeTrue(), "another list does not open a leaving member again")
+	_, known := moved.Report("a")
+	g.Expect(known).To(BeTrue())
+	_, known = moved.Report("b")
+	g.Expect(known).To(BeFalse(), "nothing is known of a member at its new address")
+	back, _ := moved.WithMembers([]view.Member{{Name: "a", Address: "1"}}).Member("a")
+	g.Expect(back.Closed).To(BeFalse(), "a member that no longer leaves is open again")
+}
+
 func TestNeededAreThePrimaryAndTheNearestOfAMajority(t *testing.T) {
 	g := NewWithT(t)
 	v := view.New("d", []view.Member{{Name: "a", Region: "far"}, {Name: "b", Region: "far"}, {Name: "c", Region: "near"}})
