--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -143,6 +143,7 @@
 type QueueStatus struct {
 	Member  string
 	Free    int
+	Lent    int
 	Waiting int
 }
 
@@ -164,8 +165,8 @@
 		}
 	}
 	for key, g := range o.gates.Queues() {
-		free, waiting := g.Counts()
-		s.Queues = append(s.Queues, QueueStatus{Member: key, Free: free, Waiting: waiting})
+		free, lent, waiting := g.Counts()
+		s.Queues = append(s.Queues, QueueStatus{Member: key, Free: free, Lent: lent, Waiting: waiting})
 	}
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(s)
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"crypto/rand"
+	"encoding/binary"
 	"sync"
 	"time"
 
@@ -66,11 +68,13 @@
 
 	mu       sync.Mutex
 	stations map[string]*ownedStation
-	grants   map[grantKey]*grant
-	wants    map[uint64]chan peer.Grant
-	nextID   uint64
-	asking   duty.Group
-	ctx      context.Context //nolint:containedctx // ends the goroutines of remote requests with the dispatch
+	remotes  map[remoteKey]*remote
+	wants    map[uint64]*want
+	holds    map[uint64]*hold
+	// firstID and lastID bound the numbers of this proxy's requests. They begin
+	// at random, so that a peer takes none for one of an earlier process.
+	firstID uint64
+	lastID  uint64
 }
 
 type ownedStation struct {
@@ -78,19 +82,6 @@
 	stop func()
 }
 
-type grantKey struct {
-	host string
-	id   uint64
-}
-
-// grant is a slot, or a place in the queue, of a request of another proxy.
-type grant struct {
-	station string
-	cancel  context.CancelFunc
-	given   func()
-	at      time.Time
-}
-
 var _ chain.Slots = (*Dispatch)(nil)
 
 // NewDispatch starts the stations of all listed members, and returns the
@@ -99,22 +90,25 @@
 	d := &Dispatch{
 		options:  options,
 		stations: make(map[string]*ownedStation),
-		grants:   make(map[grantKey]*grant),
-		wants:    make(map[uint64]chan peer.Grant),
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	d.ctx = ctx
-	stop := duty.Run(d.follow)
-	return d, func() {
-		stop()
-		cancel()
-		d.asking.Wait()
+		remotes:  make(map[remoteKey]*remote),
+		wants:    make(map[uint64]*want),
+		holds:    make(map[uint64]*hold),
+		firstID:  randomID(),
 	}
+	d.lastID = d.firstID
+	return d, duty.Run(d.followList)
+}
+
+// randomID returns a number that leaves as many again above it.
+func randomID() uint64 {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return binary.BigEndian.Uint64(raw[:]) >> 1
 }
 
-// follow is the duty that keeps a station for each member of the watched
+// followList is the duty that keeps a station for each member of the watched
 // databases.
-func (d *Dispatch) follow(ctx context.Context) error {
+func (d *Dispatch) followList(ctx context.Context) error {
 	defer d.keep(nil)
 	for {
 		watched, changed := d.options.Bases.Watched()
@@ -264,53 +258,3 @@
 	}
 	return true
 }
-
-// acquireFrom asks another proxy for a slot, for as long as it is the
-// dispatcher.
-func (d *Dispatch) acquireFrom(ctx context.Context, s *station, dispatcher string, w slots.Work) (func(), error) {
-	id, answer := d.newWant()
-	defer d.endWant(id)
-	want := peer.Want{ID: id, Database: s.database, Member: s.member.Name, Caller: w.Caller, Rank: w.Rank, Left: time.Until(w.Deadline)}
-	release := func() { d.options.Peers.Send(dispatcher, peer.Frame{Done: &peer.Done{ID: id}}) }
-	if !d.options.Peers.Send(dispatcher, peer.Frame{Want: &want}) {
-		return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s cannot be reached", dispatcher)
-	}
-	for {
-		holder, changed := s.holder.Watch()
-		if holder != dispatcher {
-			release()
-			return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
-		}
-		select {
-		case g := <-answer:
-			if g.Given && s.dispatcher() != dispatcher {
-				// The next dispatcher may have given the slot to another.
-				release()
-				return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
-			}
-			if g.Given {
-				return release, nil
-			}
-			return nil, fault.New(g.Refusal, "wait for slot", "%s", g.Detail)
-		case <-changed:
-		case <-ctx.Done():
-			release()
-			return nil, fault.New(fault.Late, "wait for slot", "dispatcher %s gave no slot within the deadline", dispatcher)
-		}
-	}
-}
-
-func (d *Dispatch) newWant() (uint64, <-chan peer.Grant) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.nextID++
-	answer := make(chan peer.Grant, 1)
-	d.wants[d.nextID] = answer
-	return d.nextID, answer
-}
-
-func (d *Dispatch) endWant(id uint64) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	delete(d.wants, id)
-}
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -93,7 +93,7 @@
 	if !leads {
 		return -1
 	}
-	count, _ := g.Counts()
+	count, _, _ := g.Counts()
 	return count
 }
 
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -18,140 +18,161 @@
 
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/pkg/fault"
-	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // Gate gives out a fixed number of slots.
 type Gate struct {
-	mu      sync.Mutex
-	queue   *slots.Queue
-	free    int
+	mu     sync.Mutex
+	lender *slots.Lender
+	// waiters are those of all work that waits or has a slot.
+	waiters map[uint64]Waiter
 	nextID  uint64
-	waiting map[uint64]chan error
 	closed  bool
 }
 
-// New returns a gate with so many slots, and room for limit waiting requests.
-func New(policy slots.Policy, count, limit int) *Gate {
-	return &Gate{queue: slots.New(policy, limit), free: count, waiting: make(map[uint64]chan error)}
+// Waiter is told what becomes of its work. Its methods must neither wait nor
+// call the gate.
+type Waiter interface {
+	// Granted tells that the work has a slot.
+	Granted()
+	// Refused tells that the work gets no slot, with a fault.
+	Refused(err error)
+	// MayFollow tells which work of the same host, by its number there, may use
+	// the slot next without asking; 0 stands for none.
+	MayFollow(number uint64)
 }
 
-// Counts returns how many slots are free and how many requests wait.
-func (g *Gate) Counts() (free, waiting int) {
+var (
+	_ Waiter = local(nil)
+	_ Waiter = (*remote)(nil)
+)
+
+// New returns a gate with so many slots.
+func New(rules slots.Rules, count int) *Gate {
+	return &Gate{lender: slots.NewLender(rules, count), waiters: make(map[uint64]Waiter)}
+}
+
+// Counts returns how many slots are free and in use, and how many requests wait.
+func (g *Gate) Counts() (free, lent, waiting int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.free, g.queue.Len()
+	return g.lender.Free(), g.lender.Lent(), g.lender.Waiting()
 }
 
-// Acquire waits for a slot, and returns the function that gives it back, which
-// must be called once. The work's ID is set by the gate. It returns a Late fault
-// if the deadline comes too near, and an Overloaded fault if the queue is full.
-func (g *Gate) Acquire(ctx context.Context, w slots.Work) (func(), error) {
-	granted := g.join(w)
-	select {
-	case err := <-granted.answer:
-		if err != nil {
-			return nil, err
-		}
-		return g.lent(w.Rank, time.Now()), nil
-	case <-ctx.Done():
-		return nil, g.leave(granted)
-	}
+// Reserve returns a new ID for work.
+func (g *Gate) Reserve() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.nextID++
+	return g.nextID
 }
 
-func errClosed() error {
-	return fault.New(fault.Undispatched, "wait for slot", "this proxy no longer gives out the member's slots")
+// Ask asks for a slot for work with a reserved ID. The waiter may be told before
+// Ask returns. A Late fault means that the deadline comes too near, and an
+// Overloaded fault that the queue is full.
+func (g *Gate) Ask(w slots.Work, waiter Waiter) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.closed {
+		waiter.Refused(errClosed())
+		return
+	}
+	g.waiters[w.ID] = waiter
+	g.tell(g.lender.Ask(w, time.Now()))
 }
 
-// Close turns away all waiting work, now and later.
-func (g *Gate) Close() {
+// Done takes a slot back, or work out of the queue.
+func (g *Gate) Done(id uint64) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.closed = true
-	for {
-		w, found := g.queue.Next()
-		if !found {
-			return
-		}
-		g.tell(w, errClosed())
-	}
+	delete(g.waiters, id)
+	g.tell(g.lender.Done(id, time.Now()))
 }
 
-// Add gives the gate more slots, such as those that were found to be free.
-func (g *Gate) Add(count int) {
+// Followed notes that work uses the slot of other work, which has ended.
+func (g *Gate) Followed(id uint64, next slots.Work, waiter Waiter) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.free += count
-	g.hand(time.Now())
+	delete(g.waiters, id)
+	g.waiters[next.ID] = waiter
+	g.tell(g.lender.Followed(id, next, time.Now()))
 }
 
-type ticket struct {
-	id     uint64
-	answer chan error
+// Settle turns away the work that is late by now.
+func (g *Gate) Settle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.tell(g.lender.Settle(time.Now()))
 }
 
-func (g *Gate) join(w slots.Work) ticket {
+// Add gives the gate more slots, such as those that were found to be free.
+func (g *Gate) Add(count int) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.nextID++
-	w.ID = g.nextID
-	t := ticket{id: w.ID, answer: make(chan error, 1)}
-	if g.closed {
-		t.answer <- errClosed()
-		return t
-	}
-	g.waiting[w.ID] = t.answer
-	if out, full := g.queue.Add(w); full {
-		g.tell(out, fault.New(fault.Overloaded, "wait for slot", "the member's queue is full"))
-	}
-	g.hand(time.Now())
-	return t
+	g.tell(g.lender.Add(count, time.Now()))
 }
 
-// leave takes a ticket back whose holder no longer waits. A slot that was
-// granted meanwhile goes to the next.
-func (g *Gate) leave(t ticket) error {
+// Close turns away all waiting work, now and later.
+func (g *Gate) Close() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.queue.Remove(t.id) {
-		if err := <-t.answer; err != nil {
-			return err
-		}
-		g.free++
-		g.hand(time.Now())
+	g.closed = true
+	for _, w := range g.lender.Close() {
+		g.refuse(w, errClosed())
 	}
-	delete(g.waiting, t.id)
-	return fault.New(fault.Late, "wait for slot", "no slot became free within the deadline")
 }
 
-// hand gives free slots to waiting work, and turns away what is late. The lock
-// must be held.
-func (g *Gate) hand(now time.Time) {
-	for _, w := range g.queue.Late(now) {
-		g.tell(w, fault.New(fault.Late, "wait for slot", "the deadline is nearer than the time that work of rank %d takes", w.Rank))
+func errClosed() error {
+	return fault.New(fault.Undispatched, "wait for slot", "this proxy no longer gives out the member's slots")
+}
+
+// tell passes a change on to the waiters. The lock must be held.
+func (g *Gate) tell(c slots.Change) {
+	for _, w := range c.Late {
+		g.refuse(w, fault.New(fault.Late, "wait for slot", "the deadline is nearer than the time that work of rank %d takes", w.Rank))
 	}
-	for g.free > 0 {
-		w, found := g.queue.Next()
-		if !found {
-			return
-		}
-		g.free--
-		g.tell(w, nil)
+	for _, w := range c.Full {
+		g.refuse(w, fault.New(fault.Overloaded, "wait for slot", "the member's queue is full"))
+	}
+	for _, w := range c.Granted {
+		g.waiters[w.ID].Granted()
+	}
+	for _, n := range c.Named {
+		g.waiters[n.Holder.ID].MayFollow(n.Next.Number)
 	}
 }
 
-func (g *Gate) tell(w slots.Work, err error) {
-	g.waiting[w.ID] <- err
-	delete(g.waiting, w.ID)
+func (g *Gate) refuse(w slots.Work, err error) {
+	g.waiters[w.ID].Refused(err)
+	delete(g.waiters, w.ID)
 }
 
-// lent returns the function that gives a slot back.
-func (g *Gate) lent(rank sheet.Rank, since time.Time) func() {
-	return func() {
-		g.mu.Lock()
-		defer g.mu.Unlock()
-		g.queue.Learn(rank, time.Since(since))
-		g.free++
-		g.hand(time.Now())
+// local is the waiter of a request of this proxy. It has room for one answer.
+type local chan error
+
+// Granted implements Waiter.
+func (l local) Granted() { l <- nil }
+
+// Refused implements Waiter.
+func (l local) Refused(err error) { l <- err }
+
+// MayFollow implements Waiter. Work of this proxy asks without a message.
+func (local) MayFollow(uint64) {}
+
+// Acquire waits for a slot, and returns the function that gives it back. The
+// work's ID is set by the gate.
+func (g *Gate) Acquire(ctx context.Context, w slots.Work) (func(), error) {
+	w.ID = g.Reserve()
+	answer := make(local, 1)
+	g.Ask(w, answer)
+	select {
+	case err := <-answer:
+		if err != nil {
+			return nil, err
+		}
+		return func() { g.Done(w.ID) }, nil
+	case <-ctx.Done():
+		g.Done(w.ID)
+		return nil, fault.New(fault.Late, "wait for slot", "no slot became free within the deadline")
 	}
 }
--- a/internal/gate/remote.go
+++ b/internal/gate/remote.go
@@ -1,7 +1,6 @@
 package gate
 
 import (
-	"context"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/peer"
@@ -9,7 +8,62 @@
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
-// TakeWant takes another proxy's request for a slot.
+// remote is a slot, or a place in the queue, of a request of another proxy.
+type remote struct {
+	dispatch *Dispatch
+	gate     *Gate
+	work     slots.Work
+
+	// The dispatch's lock guards the rest.
+	answer func(peer.Grant)
+	given  bool
+	// since is when the slot was given, and reminded when the peer was last told.
+	since    time.Time
+	reminded time.Time
+	next     uint64
+	// orphan tells that the peer knows nothing of the slot.
+	orphan bool
+}
+
+type remoteKey struct {
+	host   string
+	number uint64
+}
+
+func (r *remote) key() remoteKey { return remoteKey{host: r.work.Host, number: r.work.Number} }
+
+// give notes that the work has a slot. The dispatch's lock must be held.
+func (r *remote) give(now time.Time) { r.given, r.since, r.reminded = true, now, now }
+
+// Granted implements Waiter.
+func (r *remote) Granted() {
+	r.dispatch.mu.Lock()
+	defer r.dispatch.mu.Unlock()
+	r.give(time.Now())
+	r.answer(r.grant())
+}
+
+// Refused implements Waiter.
+func (r *remote) Refused(err error) {
+	r.dispatch.mu.Lock()
+	defer r.dispatch.mu.Unlock()
+	delete(r.dispatch.remotes, r.key())
+	f := fault.Of(err)
+	r.answer(peer.Grant{ID: r.work.Number, Refusal: f.Kind, Detail: f.Detail})
+}
+
+// MayFollow implements Waiter.
+func (r *remote) MayFollow(number uint64) {
+	r.dispatch.mu.Lock()
+	defer r.dispatch.mu.Unlock()
+	r.next = number
+	r.answer(r.grant())
+}
+
+func (r *remote) grant() peer.Grant { return peer.Grant{ID: r.work.Number, Given: true, Next: r.next} }
+
+// TakeWant takes another proxy's request for a slot. One that comes again is
+// answered again.
 func (d *Dispatch) TakeWant(host string, w peer.Want, answer func(peer.Grant)) {
 	key := stationKey(w.Database, w.Member)
 	var g *Gate
@@ -20,112 +74,107 @@
 		answer(peer.Grant{ID: w.ID, Refusal: fault.Undispatched, Detail: "proxy " + d.options.Host + " does not give out the slots of " + key})
 		return
 	}
-	ctx, cancel := context.WithTimeout(d.ctx, w.Left)
-	held := &grant{station: key, cancel: cancel}
-	d.mu.Lock()
-	d.grants[grantKey{host, w.ID}] = held
-	d.mu.Unlock()
-	d.asking.Go(ctx, func(ctx context.Context) error { return d.serveWant(ctx, host, w, g, answer) })
-}
-
-// serveWant waits for a slot on behalf of another proxy.
-func (d *Dispatch) serveWant(ctx context.Context, host string, w peer.Want, g *Gate, answer func(peer.Grant)) error {
 	now := time.Now()
-	release, err := g.Acquire(ctx, slots.Work{Caller: w.Caller, Rank: w.Rank, Arrived: now, Deadline: now.Add(w.Left)})
-	if err != nil {
-		f := fault.Of(err)
-		d.take(grantKey{host, w.ID})
-		answer(peer.Grant{ID: w.ID, Refusal: f.Kind, Detail: f.Detail})
-		return err
+	work := slots.Work{
+		ID: g.Reserve(), Host: host, Number: w.ID, Caller: w.Caller, Rank: w.Rank, Arrived: now, Deadline: now.Add(w.Left),
 	}
-	if !d.give(grantKey{host, w.ID}, release) {
-		// The request was withdrawn meanwhile.
-		release()
-		return nil
+	r := &remote{dispatch: d, gate: g, work: work, answer: answer}
+	if d.addRemote(r) {
+		g.Ask(work, r)
 	}
-	answer(peer.Grant{ID: w.ID, Given: true})
-	return nil
 }
 
-// give notes that a slot is given, unless the request was withdrawn.
-func (d *Dispatch) give(key grantKey, release func()) bool {
+// addRemote notes a request, and tells whether it is new. A known one gets its
+// answers by the new way from now on.
+func (d *Dispatch) addRemote(r *remote) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	held, found := d.grants[key]
-	if !found {
+	if known, found := d.remotes[r.key()]; found {
+		known.answer = r.answer
+		if known.given {
+			known.answer(known.grant())
+		}
 		return false
 	}
-	held.given, held.at = release, time.Now()
+	d.remotes[r.key()] = r
 	return true
 }
 
-// take removes a grant and returns it, or nil.
-func (d *Dispatch) take(key grantKey) *grant {
+// takeRemote removes a request and returns it, or nil.
+func (d *Dispatch) takeRemote(key remoteKey) *remote {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	held := d.grants[key]
-	delete(d.grants, key)
-	if held != nil {
-		defer held.cancel()
-	}
-	return held
+	r := d.remotes[key]
+	delete(d.remotes, key)
+	return r
 }
 
-// TakeDone takes a slot back, or a request out of the queue.
+// TakeDone takes a slot back, or a request out of the queue, or notes that the
+// slot is used by the next request.
 func (d *Dispatch) TakeDone(host string, done peer.Done) {
-	if held := d.take(grantKey{host, done.ID}); held != nil && held.given != nil {
-		held.given()
+	key := remoteKey{host: host, number: done.ID}
+	if done.Unknown {
+		d.orphan(key)
+		return
+	}
+	r := d.takeRemote(key)
+	switch {
+	case r == nil && done.Next != 0:
+		d.charge(remoteKey{host: host, number: done.Next})
+	case r == nil:
+	case done.Next != 0:
+		d.follow(r, done.Next)
+	default:
+		r.gate.Done(r.work.ID)
 	}
 }
 
-// TakeGrant takes a dispatcher's answer. One that no request waits for is given
-// back.
-func (d *Dispatch) TakeGrant(host string, g peer.Grant) {
+// charge counts a slot for a request that follows one whose slot was reclaimed.
+func (d *Dispatch) charge(key remoteKey) {
 	d.mu.Lock()
-	answer, found := d.wants[g.ID]
-	delete(d.wants, g.ID)
-	d.mu.Unlock()
-	if found {
-		answer <- g
-		return
+	r := d.remotes[key]
+	if r != nil {
+		r.give(time.Now())
 	}
-	if g.Given {
-		d.options.Peers.Send(host, peer.Frame{Done: &peer.Done{ID: g.ID}})
+	d.mu.Unlock()
+	if r != nil {
+		r.gate.Followed(0, r.work, r)
 	}
 }
 
-// dropGrants forgets the grants of a member that this proxy no longer leads.
-func (d *Dispatch) dropGrants(station string) {
-	for _, key := range d.grantsOf(station, func(*grant, string) bool { return true }) {
-		d.take(key)
+// follow notes that a request uses the slot of another one that has ended. A
+// request that is not known was turned away while it began.
+func (d *Dispatch) follow(ended *remote, number uint64) {
+	unknown := &remote{
+		dispatch: d, gate: ended.gate, answer: ended.answer,
+		work: slots.Work{ID: ended.gate.Reserve(), Host: ended.work.Host, Number: number},
+	}
+	d.mu.Lock()
+	next, found := d.remotes[unknown.key()]
+	if !found {
+		next = unknown
+		d.remotes[next.key()] = next
 	}
+	next.give(time.Now())
+	d.mu.Unlock()
+	ended.gate.Followed(ended.work.ID, next.work, next)
 }
 
-func (d *Dispatch) grantsOf(station string, wanted func(*grant, string) bool) []grantKey {
+func (d *Dispatch) orphan(key remoteKey) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var keys []grantKey
-	for key, held := range d.grants {
-		if held.station == station && wanted(held, key.host) {
-			keys = append(keys, key)
-		}
+	if r, found := d.remotes[key]; found {
+		r.orphan = true
 	}
-	return keys
 }
 
-// reclaim frees the slots of proxies that went silent, as far as the member is
-// found not to use them. A proxy that was only cut off from this one may still
-// run its work; its slots stay counted until that has ended.
-func (d *Dispatch) reclaim(station string, active int) {
-	given := d.grantsOf(station, func(g *grant, _ string) bool { return g.given != nil })
-	silent := d.grantsOf(station, func(g *grant, host string) bool {
-		return g.given != nil && time.Since(d.options.Peers.Heard(host)) > d.options.Silence && time.Since(g.at) > d.options.Silence
-	})
-	for _, key := range silent {
-		if len(given) <= active {
-			return
+// dropRemotes forgets the requests at a gate that is closed.
+func (d *Dispatch) dropRemotes(g *Gate) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for key, r := range d.remotes {
+		if r.gate == g {
+			delete(d.remotes, key)
 		}
-		d.TakeDone(key.host, peer.Done{ID: key.id})
-		given = given[1:]
 	}
 }
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -180,13 +180,13 @@
 		return
 	}
 	taken := s.settle(ctx, control, state)
-	g := New(slots.DefaultFloors(), max(s.slots-taken, 0), s.dispatch.options.Queue)
+	g := New(slots.DefaultRules(s.dispatch.options.Queue), max(s.slots-taken, 0))
 	s.gate.Store(g)
 	s.note(event.DispatchBegun, event.Fields{"Slots": s.slots, "Taken": taken})
 	s.keep(ctx, control, g, taken)
 	s.gate.Store(nil)
 	g.Close()
-	s.dispatch.dropGrants(s.key())
+	s.dispatch.dropRemotes(g)
 	s.note(event.DispatchEnded, event.Fields{})
 	s.vacant = time.Now()
 }
@@ -217,6 +217,7 @@
 // keep tries the leading connection until it fails. Slots that were in use from
 // before are added to the gate as the member is found to use fewer.
 func (s *station) keep(ctx context.Context, control member.Control, g *Gate, taken int) {
+	var seen peaks
 	for {
 		duty.Pause(ctx, pingPeriod)
 		if ctx.Err() != nil {
@@ -230,6 +231,12 @@
 			g.Add(taken - state.Active)
 			taken = state.Active
 		}
-		s.dispatch.reclaim(s.key(), state.Active)
+		var active int
+		seen, active = seen.with(state.Active)
+		_, lent, _ := g.Counts()
+		now := time.Now()
+		s.dispatch.reclaim(g, lent+taken-active, now)
+		s.dispatch.remind(g, now)
+		g.Settle()
 	}
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -60,18 +60,26 @@
 	Left time.Duration
 }
 
-// Grant answers a Want.
+// Grant answers a Want. It comes again when Next changes, and when a slot has
+// been in use for long.
 type Grant struct {
 	ID uint64
 	// Given tells that the slot is given. Otherwise Refusal tells why not.
 	Given   bool
-	Refusal fault.Kind
-	Detail  string
+	Refusal fault.Kind `msgpack:",omitempty"`
+	Detail  string     `msgpack:",omitempty"`
+	// Next is the Want that may use the slot next without asking, or 0.
+	Next uint64 `msgpack:",omitempty"`
 }
 
 // Done gives a slot back, or withdraws a Want.
 type Done struct {
 	ID uint64
+	// Next is the Want that uses the slot now, or 0.
+	Next uint64 `msgpack:",omitempty"`
+	// Unknown tells that the proxy knows nothing of the slot. Work of a process
+	// that had its name before may still use it.
+	Unknown bool `msgpack:",omitempty"`
 }
 
 // Challenge asks the opening side for a proof.
--- a/internal/slots/flood_test.go
+++ b/internal/slots/flood_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -52,10 +53,24 @@
 	flood   bool
 	ended   time.Duration
 	served  bool
+	// settled tells that the proxy has sent the work or was refused, and next is
+	// the work that may follow on its slot.
+	settled bool
+	next    *job
+	// refused is when the proxy was told that the work gets no slot, and began
+	// is when the member began it.
+	refused time.Duration
+	began   time.Duration
 }
 
 func (j *job) inTime() bool { return j.served && j.ended <= j.arrives+j.deadline }
 
+func (j *job) inFlood() bool { return j.arrives >= floodBegins && j.arrives < floodEnds }
+
+func (j *job) refusedEarly() bool {
+	return !j.served && j.refused > 0 && j.refused < j.arrives+j.deadline
+}
+
 // flood adds work of one rank at floodFactor times the capacity.
 type flood struct {
 	rank    sheet.Rank
@@ -98,21 +113,22 @@
 
 // way is a way to share a member's slots.
 type way struct {
-	name   string
-	policy slots.Policy
-	// shared tells that one queue serves all proxies.
+	name string
+	// shared tells that one lender serves all proxies.
 	shared bool
-	// early tells that work is refused that can no longer end in time.
-	early bool
+	rules  slots.Rules
 }
 
 func ways() []way {
+	unfollowed := slots.DefaultRules(queueLimit)
+	unfollowed.Run = 1
 	return []way{
-		{name: "production", policy: slots.DefaultFloors(), shared: true, early: true},
-		{name: "dispatch-strict", policy: slots.Strict{}, shared: true, early: true},
-		{name: "dispatch-in-order", policy: slots.InOrder{}, shared: true},
-		{name: "fixed-strict", policy: slots.Strict{}},
-		{name: "fixed-in-order", policy: slots.InOrder{}},
+		{name: "production", shared: true, rules: slots.DefaultRules(queueLimit)},
+		{name: "dispatch-floors", shared: true, rules: unfollowed},
+		{name: "dispatch-strict", shared: true, rules: slots.Rules{Policy: slots.Strict{}, Limit: queueLimit, Early: true}},
+		{name: "dispatch-in-order", shared: true, rules: slots.Rules{Policy: slots.InOrder{}, Limit: queueLimit}},
+		{name: "fixed-strict", rules: slots.Rules{Policy: slots.Strict{}, Limit: queueLimit}},
+		{name: "fixed-in-order", rules: slots.Rules{Policy: slots.InOrder{}, Limit: queueLimit}},
 	}
 }
 
@@ -134,20 +150,19 @@
 	return last
 }
 
-// play runs a trace against the queues of the proxy. With fixed shares each
-// proxy sends one piece of work at a time, and the member queues what exceeds
-// its slots; with a shared queue a slot is given at the cost of two messages.
+// play runs a trace against the lenders of the proxy. With fixed shares each
+// proxy has a lender of one slot, and the member queues what exceeds its slots.
+// With a shared lender each message to it and from it takes its time.
 type play struct {
-	way    way
-	now    time.Duration
-	steps  steps
-	queues []*slots.Queue
-	free   []int
-	member []*job
-	busy   int
-	peak   int
-	jobs   map[uint64]*job
-	useful time.Duration
+	way     way
+	now     time.Duration
+	steps   steps
+	lenders []*slots.Lender
+	member  []*job
+	busy    int
+	peak    int
+	jobs    map[uint64]*job
+	useful  time.Duration
 }
 
 var epoch = time.Unix(0, 0)
@@ -159,12 +174,11 @@
 		count, share = 1, slotCount
 	}
 	for range count {
-		p.queues = append(p.queues, slots.New(w.policy, queueLimit))
-		p.free = append(p.free, share)
+		p.lenders = append(p.lenders, slots.NewLender(w.rules, share))
 	}
 	for _, j := range jobs {
 		p.jobs[j.id] = j
-		p.after(j.arrives, func() { p.arrive(j) })
+		p.after(j.arrives, func() { p.tell(p.lender(j).Ask(p.work(j), epoch.Add(p.now))) })
 	}
 	for p.steps.Len() > 0 {
 		s := heap.Pop(&p.steps).(step)
@@ -176,52 +190,66 @@
 
 func (p *play) after(at time.Duration, do func()) { heap.Push(&p.steps, step{at: at, do: do}) }
 
-func (p *play) queueOf(j *job) int {
+// trip returns the time of a message between a proxy and its lender.
+func (p *play) trip() time.Duration {
 	if p.way.shared {
-		return 0
+		return oneWay
 	}
-	return j.proxy
+	return 0
 }
 
-func (p *play) arrive(j *job) {
-	q := p.queueOf(j)
-	p.queues[q].Add(slots.Work{ID: j.id, Caller: j.caller, Rank: j.rank, Arrived: epoch.Add(j.arrives), Deadline: epoch.Add(j.arrives + j.deadline)})
-	p.hand(q)
+func (p *play) lender(j *job) *slots.Lender {
+	if p.way.shared {
+		return p.lenders[0]
+	}
+	return p.lenders[j.proxy]
 }
 
-func (p *play) hand(q int) {
-	if p.way.early {
-		p.queues[q].Late(epoch.Add(p.now))
+func (p *play) work(j *job) slots.Work {
+	return slots.Work{
+		ID: j.id, Host: fmt.Sprint(j.proxy), Caller: j.caller, Rank: j.rank,
+		Arrived: epoch.Add(j.arrives), Deadline: epoch.Add(j.arrives + j.deadline),
 	}
-	for p.free[q] > 0 {
-		w, found := p.queues[q].Next()
-		if !found {
-			return
+}
+
+// tell carries a lender's answers to the proxies.
+func (p *play) tell(c slots.Change) {
+	p.after(p.now+p.trip(), func() {
+		for _, w := range slices.Concat(c.Late, c.Full) {
+			p.jobs[w.ID].settled, p.jobs[w.ID].refused = true, p.now
 		}
-		if !epoch.Add(p.now).Before(w.Deadline) {
-			continue
+		for _, w := range c.Granted {
+			if j := p.jobs[w.ID]; !j.settled {
+				p.send(j)
+			}
 		}
-		p.free[q]--
-		j := p.jobs[w.ID]
-		travel := oneWay
-		if p.way.shared {
-			travel += oneWay
+		for _, n := range c.Named {
+			p.jobs[n.Holder.ID].next = nil
+			if n.Next != (slots.Work{}) {
+				p.jobs[n.Holder.ID].next = p.jobs[n.Next.ID]
+			}
 		}
-		p.after(p.now+travel, func() { p.reach(q, j, p.now) })
-	}
+	})
+}
+
+// send sends work to the member.
+func (p *play) send(j *job) {
+	j.settled = true
+	p.after(p.now+oneWay, func() { p.reach(j) })
 }
 
-func (p *play) reach(q int, j *job, lent time.Duration) {
+func (p *play) reach(j *job) {
 	p.peak = max(p.peak, p.busy+len(p.member)+1)
 	if p.busy >= slotCount {
 		p.member = append(p.member, j)
 		return
 	}
-	p.begin(q, j, lent)
+	p.begin(j)
 }
 
-func (p *play) begin(q int, j *job, lent time.Duration) {
+func (p *play) begin(j *job) {
 	p.busy++
+	j.began = p.now
 	p.after(p.now+j.takes, func() {
 		p.busy--
 		j.served, j.ended = true, p.now+oneWay
@@ -231,20 +259,24 @@
 		if len(p.member) > 0 {
 			next := p.member[0]
 			p.member = p.member[1:]
-			p.begin(p.queueOf(next), next, p.now)
+			p.begin(next)
 		}
-		back := oneWay
-		if p.way.shared {
-			back += oneWay
-		}
-		p.after(p.now+back, func() {
-			p.queues[q].Learn(j.rank, p.now-lent)
-			p.free[q]++
-			p.hand(q)
-		})
+		p.after(p.now+oneWay, func() { p.answered(j) })
 	})
 }
 
+// answered is when the proxy has the answer: it uses the slot for the work that
+// may follow, or gives it back.
+func (p *play) answered(j *job) {
+	next := j.next
+	if next == nil || next.settled {
+		p.after(p.now+p.trip(), func() { p.tell(p.lender(j).Done(j.id, epoch.Add(p.now))) })
+		return
+	}
+	p.send(next)
+	p.after(p.now+p.trip(), func() { p.tell(p.lender(j).Followed(j.id, p.work(next), epoch.Add(p.now))) })
+}
+
 // figures sum up the work that arrived during the flood.
 type figures struct {
 	inTime [sheet.MaxRank + 1]float64
@@ -252,18 +284,41 @@
 	floors float64
 	useful float64
 	peak   int
+	// waits holds the median and the 99th percentile of the time from arrival to
+	// the member, by rank, of the work that was served.
+	waits [sheet.MaxRank + 1][2]time.Duration
+	// early and late are the parts, in percent, that were refused before their
+	// deadline, and that ended or were refused after it.
+	early, late float64
+}
+
+// waitsOf returns the median and the 99th percentile of the waits of a rank.
+func waitsOf(jobs []*job, rank sheet.Rank) [2]time.Duration {
+	var waits []time.Duration
+	for _, j := range jobs {
+		if j.rank == rank && j.served && !j.flood && j.inFlood() {
+			waits = append(waits, j.began-j.arrives)
+		}
+	}
+	if len(waits) == 0 {
+		return [2]time.Duration{}
+	}
+	slices.Sort(waits)
+	return [2]time.Duration{waits[len(waits)/2], waits[len(waits)*99/100]}
 }
 
 func measure(w way, seed uint64, f flood) figures {
 	jobs := trace(seed, f)
 	p := run(w, jobs)
 	var offered, done [sheet.MaxRank + 1]float64
-	var worth, served float64
+	var worth, served, early, late float64
 	callers := make(map[string][2]float64)
+	arrived := 0.0
 	for _, j := range jobs {
-		if j.arrives < floodBegins || j.arrives >= floodEnds {
+		if !j.inFlood() {
 			continue
 		}
+		arrived++
 		worth += j.worth
 		c := callers[fmt.Sprint(j.rank, j.caller)]
 		c[0]++
@@ -272,6 +327,12 @@
 			c[1]++
 		}
 		callers[fmt.Sprint(j.rank, j.caller)] = c
+		switch {
+		case j.refusedEarly():
+			early++
+		case !j.inTime():
+			late++
+		}
 		if j.flood {
 			continue
 		}
@@ -280,9 +341,10 @@
 			done[j.rank]++
 		}
 	}
-	o := figures{worth: 100 * served / worth, peak: p.peak}
+	o := figures{worth: 100 * served / worth, peak: p.peak, early: 100 * early / arrived, late: 100 * late / arrived}
 	o.useful = 100 * float64(p.useful) / float64(slotCount*(floodEnds-floodBegins))
 	for rank := range offered {
+		o.waits[rank] = waitsOf(jobs, sheet.Rank(rank)) //nolint:gosec // at most MaxRank
 		if offered[rank] > 0 {
 			o.inTime[rank] = 100 * done[rank] / offered[rank]
 		}
@@ -301,7 +363,7 @@
 	others, othersDone := make(map[string]float64), make(map[string]float64)
 	flooders := make(map[string]bool)
 	for _, j := range jobs {
-		if j.arrives < floodBegins || j.arrives >= floodEnds {
+		if !j.inFlood() {
 			continue
 		}
 		if j.served {
@@ -345,6 +407,7 @@
 var floods = map[string]flood{
 	"least-urgent-flood":           {rank: 3, callers: 8, proxies: proxyCount},
 	"least-urgent-from-one-proxy":  {rank: 3, callers: 8, proxies: 1},
+	"middle-flood":                 {rank: 2, callers: 8, proxies: proxyCount},
 	"most-urgent-flood":            {rank: 1, callers: 8, proxies: proxyCount},
 	"most-urgent-flood-one-caller": {rank: 1, callers: 1, proxies: proxyCount},
 }
@@ -355,6 +418,14 @@
 	b.ReportMetric(o.inTime[3], "least-in-deadline-%")
 	b.ReportMetric(o.worth, "worth-served-%")
 	b.ReportMetric(float64(o.peak), "peak-at-member")
+	b.ReportMetric(o.early, "refused-early-%")
+	b.ReportMetric(o.late, "late-%")
+	for rank, name := range []string{"", "urgent", "middle", "least"} {
+		if rank > 0 {
+			b.ReportMetric(o.waits[rank][0].Seconds()*1e3, name+"-wait-p50-ms")
+			b.ReportMetric(o.waits[rank][1].Seconds()*1e3, name+"-wait-p99-ms")
+		}
+	}
 }
 
 const benchSeed = 1
--- /dev/null
+++ b/internal/slots/lender.go
@@ -0,0 +1,217 @@
+package slots
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Rules are how a Lender gives out slots.
+type Rules struct {
+	Policy Policy
+	// Limit is how much work of each rank may wait.
+	Limit int
+	// Early tells that work is refused as soon as it might not end in time, not
+	// only when its deadline has passed.
+	Early bool
+	// Run is how many pieces of work of one host run in a row on a slot before
+	// the slot goes to whichever host is next.
+	Run int
+	// Brief is how long work of a rank may hold its slot on average and yet be
+	// followed without asking. Longer work gains little by it, and holds more
+	// urgent work up that arrives at that moment.
+	Brief time.Duration
+}
+
+// DefaultRules returns the rules of the proxy.
+func DefaultRules(limit int) Rules {
+	const run, brief = 16, 40 * time.Millisecond
+	return Rules{Policy: DefaultFloors(), Limit: limit, Early: true, Run: run, Brief: brief}
+}
+
+// Lender gives out a fixed number of slots.
+//
+// A slot that is given back costs three messages before its next work begins: to
+// the lender, to the next host, and to the member. Therefore the lender names,
+// while work runs, other work of the same host that may follow it on the slot. A
+// host that uses the slot so tells it afterwards. Until then the lender may give
+// the named work a slot of its own; the host then runs it once, and the slot
+// that it followed on becomes free.
+//
+// A Lender is not for concurrent use.
+type Lender struct {
+	rules Rules
+	queue *Queue
+	free  int
+	loans map[uint64]*loan
+}
+
+// loan is a slot in use.
+type loan struct {
+	work  Work
+	since time.Time
+	// run counts the work of the host on the slot, this one included.
+	run int
+	// next is the named work, or zero.
+	next Work
+}
+
+// Change is what those who wait for slots, or have them, must be told.
+type Change struct {
+	// Granted is the work that got a slot.
+	Granted []Work
+	// Late is the work that can no longer end in time.
+	Late []Work
+	// Full is the work for which there is no room in the queue.
+	Full []Work
+	// Named are the new names of work that may follow.
+	Named []Naming
+}
+
+// Naming tells the holder of a slot which work may follow on it.
+type Naming struct {
+	Holder Work
+	// Next is the work, or zero if none may follow any longer.
+	Next Work
+}
+
+// NewLender returns a lender of so many slots.
+func NewLender(rules Rules, count int) *Lender {
+	return &Lender{rules: rules, queue: New(rules.Policy, rules.Limit), free: count, loans: make(map[uint64]*loan)}
+}
+
+// Free returns how many slots are free. It is below zero while more are in use
+// than the lender has.
+func (l *Lender) Free() int { return l.free }
+
+// Lent returns how many slots are in use.
+func (l *Lender) Lent() int { return len(l.loans) }
+
+// Waiting returns how much work waits.
+func (l *Lender) Waiting() int { return l.queue.Len() }
+
+// Ask asks for a slot. The work's ID must be new.
+func (l *Lender) Ask(w Work, now time.Time) Change {
+	var c Change
+	if out, full := l.queue.Add(w); full {
+		c.Full = append(c.Full, out)
+	}
+	l.hand(now, &c)
+	if l.queue.Waits(w.ID) {
+		l.revoke(w, &c)
+	}
+	l.name(&c)
+	return c
+}
+
+// Done takes a slot back, or work out of the queue.
+func (l *Lender) Done(id uint64, now time.Time) Change {
+	l.queue.Remove(id)
+	l.release(id, now)
+	return l.settle(now)
+}
+
+// Followed notes that work runs on the slot of other work of its host that has
+// ended, whatever has become of either meanwhile.
+func (l *Lender) Followed(id uint64, next Work, now time.Time) Change {
+	run := 1
+	if ended := l.loans[id]; ended != nil {
+		run += ended.run
+	}
+	l.release(id, now)
+	if l.loans[next.ID] == nil {
+		l.queue.Take(next.ID)
+		l.free--
+		l.loans[next.ID] = &loan{work: next, since: now, run: run}
+	}
+	return l.settle(now)
+}
+
+// Settle takes out the work that is late by now.
+func (l *Lender) Settle(now time.Time) Change { return l.settle(now) }
+
+// Add gives the lender more slots.
+func (l *Lender) Add(count int, now time.Time) Change {
+	l.free += count
+	return l.settle(now)
+}
+
+// Close takes out all waiting work and returns it.
+func (l *Lender) Close() []Work {
+	var waiting []Work
+	for {
+		w, found := l.queue.Next()
+		if !found {
+			return waiting
+		}
+		waiting = append(waiting, w)
+	}
+}
+
+func (l *Lender) settle(now time.Time) Change {
+	var c Change
+	l.hand(now, &c)
+	l.name(&c)
+	return c
+}
+
+func (l *Lender) release(id uint64, now time.Time) {
+	ended := l.loans[id]
+	if ended == nil {
+		return
+	}
+	if l.rules.Early {
+		l.queue.Learn(ended.work.Rank, now.Sub(ended.since))
+	}
+	l.queue.Unname(ended.next.ID)
+	delete(l.loans, id)
+	l.free++
+}
+
+// hand gives free slots to waiting work, and takes out what is late.
+func (l *Lender) hand(now time.Time, c *Change) {
+	c.Late = append(c.Late, l.queue.Late(now)...)
+	for l.free > 0 {
+		w, found := l.queue.Next()
+		if !found {
+			break
+		}
+		l.free--
+		l.loans[w.ID] = &loan{work: w, since: now, run: 1}
+		c.Granted = append(c.Granted, w)
+	}
+}
+
+// revoke takes back what was named and is less urgent than new work that waits.
+func (l *Lender) revoke(w Work, c *Change) {
+	for _, id := range l.held() {
+		if o := l.loans[id]; o.next.Rank > w.Rank {
+			l.queue.Unname(o.next.ID)
+			o.next = Work{}
+			c.Named = append(c.Named, Naming{Holder: o.work})
+		}
+	}
+}
+
+// name names work for every slot whose holder may not go on yet.
+func (l *Lender) name(c *Change) {
+	first, found := l.queue.Peek()
+	if !found || l.rules.Run <= 1 || l.queue.Mean(first.Rank) > l.rules.Brief {
+		return
+	}
+	for _, id := range l.held() {
+		o := l.loans[id]
+		if o.work.Host == "" || o.run >= l.rules.Run || l.queue.Named(o.next.ID) {
+			continue
+		}
+		next, found := l.queue.Follow(o.work.Host, first)
+		if !found {
+			continue
+		}
+		o.next = next
+		c.Named = append(c.Named, Naming{Holder: o.work, Next: next})
+	}
+}
+
+// held returns the work that has slots, in the order of its IDs.
+func (l *Lender) held() []uint64 { return slices.Sorted(maps.Keys(l.loans)) }
--- a/internal/slots/policy.go
+++ b/internal/slots/policy.go
@@ -34,7 +34,7 @@
 
 // Pick implements Policy.
 func (InOrder) Pick(waiting []Work, _ Served) int {
-	return first(waiting, func(a, b Work) bool { return a.Arrived.Before(b.Arrived) })
+	return first(waiting, func(a, b Work) bool { return a.before(b) })
 }
 
 // Pick implements Policy.
@@ -43,7 +43,7 @@
 		if a.Rank != b.Rank {
 			return a.Rank < b.Rank
 		}
-		return a.Arrived.Before(b.Arrived)
+		return a.before(b)
 	})
 }
 
@@ -57,7 +57,7 @@
 		if x, y := served.Callers[a.turn()], served.Callers[b.turn()]; x != y {
 			return x < y
 		}
-		return a.Arrived.Before(b.Arrived)
+		return a.before(b)
 	})
 }
 
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -1,10 +1,11 @@
 // Package slots decides in which order waiting work gets the slots of a member.
 //
-// A Queue is a plain value machine without a clock: work is added, and Next
-// takes the work that is to run. The order is by rank, but every rank keeps a
-// guaranteed share of the slots while it has work waiting, and within a rank the
-// callers take turns. Work whose deadline has come too near is taken out as late
-// before it is given a slot.
+// A Queue holds the work that waits: work is added, and Next takes the work that
+// is to run. The order is by rank, but every rank keeps a guaranteed share of
+// the slots while it has work waiting, and within a rank the callers take turns.
+// Work whose deadline has come too near is taken out as late before it is given
+// a slot. A Lender holds the slots and the queue in front of them. Neither has a
+// clock.
 package slots
 
 import (
@@ -16,7 +17,11 @@
 
 // Work is one piece of waiting work.
 type Work struct {
-	ID       uint64
+	ID uint64
+	// Host is the proxy that waits for the slot, and Number is the work's own
+	// number there. Host is empty for work of the proxy that lends the slots.
+	Host     string
+	Number   uint64
 	Caller   string
 	Rank     sheet.Rank
 	Arrived  time.Time
@@ -45,70 +50,120 @@
 
 func (w Work) turn() Turn { return Turn{Rank: w.Rank, Caller: w.Caller} }
 
-// Queue holds the work that waits for one member.
+// before tells whether work arrived before other work.
+func (w Work) before(other Work) bool {
+	if !w.Arrived.Equal(other.Arrived) {
+		return w.Arrived.Before(other.Arrived)
+	}
+	return w.ID < other.ID
+}
+
+// Queue holds the work that waits for one member. Work of the same caller, rank
+// and host waits in one lane, in the order of its arrival, so that only the heads
+// of the lanes have to be compared.
 type Queue struct {
-	policy  Policy
-	limit   int
-	waiting []Work
-	served  Served
-	takes   [sheet.MaxRank + 1]estimate
+	policy Policy
+	limit  int
+	lanes  []*lane
+	// homes tells in which lane work waits.
+	homes  map[uint64]*lane
+	served Served
+	takes  [sheet.MaxRank + 1]estimate
 	// ranks and turns count the waiting work.
 	ranks [sheet.MaxRank + 1]int
 	turns map[Turn]int
+	// named holds the work that may follow other work of its host.
+	named map[uint64]bool
 }
 
 // New returns an empty queue of at most limit pieces of work of each rank.
 func New(policy Policy, limit int) *Queue {
-	return &Queue{policy: policy, limit: limit, served: Served{Callers: make(map[Turn]float64)}, turns: make(map[Turn]int)}
+	return &Queue{
+		policy: policy,
+		limit:  limit,
+		homes:  make(map[uint64]*lane),
+		served: Served{Callers: make(map[Turn]float64)},
+		turns:  make(map[Turn]int),
+		named:  make(map[uint64]bool),
+	}
 }
 
 // Len returns how much work waits.
-func (q *Queue) Len() int { return len(q.waiting) }
+func (q *Queue) Len() int { return len(q.homes) }
+
+// Waits tells whether work waits.
+func (q *Queue) Waits(id uint64) bool { return q.homes[id] != nil }
 
 // Add puts work into the queue. If its rank is full, the youngest work of the
 // caller that has most waiting in it is put out and returned, which may be the
 // new work itself: neither a rank nor a caller can crowd others out.
 func (q *Queue) Add(w Work) (out Work, full bool) {
-	q.waiting = append(q.waiting, w)
-	q.count(w, 1)
+	l := q.lane(w)
+	l.add(w)
+	q.homes[w.ID] = l
+	q.ranks[w.Rank]++
+	q.turns[w.turn()]++
 	if q.ranks[w.Rank] <= q.limit {
 		return Work{}, false
 	}
-	worst := -1
-	for i, other := range q.waiting {
-		if other.Rank == w.Rank && (worst < 0 || q.turns[other.turn()] >= q.turns[q.waiting[worst].turn()]) {
-			worst = i
-		}
-	}
-	return q.cut(worst), true
+	out = q.youngest(w.Rank)
+	q.Remove(out.ID)
+	return out, true
 }
 
-func (q *Queue) count(w Work, change int) {
-	q.ranks[w.Rank] += change
-	q.turns[w.turn()] += change
-	if q.turns[w.turn()] == 0 {
-		delete(q.turns, w.turn())
+// lane returns the lane in which work belongs.
+func (q *Queue) lane(w Work) *lane {
+	for _, l := range q.lanes {
+		if l.host == w.Host && l.turn == w.turn() {
+			return l
+		}
 	}
+	l := &lane{host: w.Host, turn: w.turn()}
+	q.lanes = append(q.lanes, l)
+	return l
 }
 
-// cut takes the work at an index out of the queue.
-func (q *Queue) cut(i int) Work {
-	w := q.waiting[i]
-	q.waiting = slices.Delete(q.waiting, i, i+1)
-	q.count(w, -1)
-	return w
+// youngest returns the last work of the caller that has most waiting in a rank.
+func (q *Queue) youngest(rank sheet.Rank) Work {
+	most, last := 0, Work{}
+	for _, l := range q.lanes {
+		count, w := q.turns[l.turn], l.last()
+		if l.turn.Rank == rank && (count > most || (count == most && last.before(w))) {
+			most, last = count, w
+		}
+	}
+	return last
 }
 
 // Remove takes work out of the queue, and tells whether it was there.
 func (q *Queue) Remove(id uint64) bool {
-	i := slices.IndexFunc(q.waiting, func(w Work) bool { return w.ID == id })
-	if i < 0 {
+	l := q.homes[id]
+	if l == nil {
 		return false
 	}
-	q.cut(i)
+	w := l.cut(id)
+	q.forget(w)
+	if len(l.work) == 0 {
+		q.dropEmpty()
+	}
 	return true
 }
 
+// forget keeps the counts right when work has been taken out of its lane.
+func (q *Queue) forget(w Work) {
+	delete(q.named, w.ID)
+	delete(q.homes, w.ID)
+	q.ranks[w.Rank]--
+	q.turns[w.turn()]--
+	if q.turns[w.turn()] == 0 {
+		delete(q.turns, w.turn())
+	}
+}
+
+func (q *Queue) dropEmpty() {
+	q.lanes = slices.DeleteFunc(q.lanes, func(l *lane) bool { return len(l.work) == 0 })
+}
+
 // The weights of the running mean and of the running deviation against one new
 // time, and how many deviations above the mean an estimate lies. They are those
 // of the retransmission timeout of TCP (RFC 6298).
@@ -141,34 +196,98 @@
 	q.takes[rank] = q.takes[rank].with(took)
 }
 
+// Mean returns how long work of a rank holds its slot on average.
+func (q *Queue) Mean(rank sheet.Rank) time.Duration { return q.takes[rank].mean }
+
 // Late takes out all work that might not end in time if it began now: work whose
-// deadline is nearer than the time that work of its rank takes at most.
+// deadline is nearer than the time that work of its rank takes at most. A queue
+// that has learnt nothing takes out the work whose deadline has passed.
 func (q *Queue) Late(now time.Time) []Work {
 	var late []Work
-	q.waiting = slices.DeleteFunc(q.waiting, func(w Work) bool {
-		if now.Add(q.takes[w.Rank].bound()).Before(w.Deadline) {
-			return false
-		}
-		late = append(late, w)
-		q.count(w, -1)
-		return true
-	})
+	for _, l := range q.lanes {
+		late = append(late, l.late(now.Add(q.takes[l.turn.Rank].bound()))...)
+	}
+	for _, w := range late {
+		q.forget(w)
+	}
+	if len(late) > 0 {
+		q.dropEmpty()
+	}
 	return late
 }
 
-// Next takes the work that is to run next, and false if none waits.
-func (q *Queue) Next() (Work, bool) {
-	i := q.policy.Pick(q.waiting, q.served)
+// Peek returns the work that is to run next, and false if none waits.
+func (q *Queue) Peek() (Work, bool) {
+	heads := make([]Work, 0, len(q.lanes))
+	for _, l := range q.lanes {
+		heads = append(heads, l.work[0])
+	}
+	return q.pick(heads)
+}
+
+func (q *Queue) pick(from []Work) (Work, bool) {
+	i := q.policy.Pick(from, q.served)
 	if i < 0 {
 		return Work{}, false
 	}
-	w := q.cut(i)
-	q.served.Ranks[w.Rank]++
-	q.served.Callers[w.turn()]++
+	return from[i], true
+}
+
+// Next takes the work that is to run next, and false if none waits.
+func (q *Queue) Next() (Work, bool) {
+	w, found := q.Peek()
+	if found {
+		q.Take(w.ID)
+	}
+	return w, found
+}
+
+// Take takes work out that gets a slot, and tells whether it was there.
+func (q *Queue) Take(id uint64) bool {
+	l := q.homes[id]
+	if l == nil {
+		return false
+	}
+	turn := l.turn
+	q.Remove(id)
+	q.served.Ranks[turn.Rank]++
+	q.served.Callers[turn]++
 	q.age()
+	return true
+}
+
+// turnSlack is how many more recent slots a caller may have had than the one
+// whose turn it is, and yet follow.
+const turnSlack = 1
+
+// Follow names work of a host that may run after the host's present work on the
+// same slot, before the queue hears of it. It is of the same rank as the work
+// that is next, and its caller has had hardly more slots than that of the next.
+// Named work keeps its place in the queue, and is not named twice.
+func (q *Queue) Follow(host string, next Work) (Work, bool) {
+	var own []Work
+	for _, l := range q.lanes {
+		if l.host != host || l.turn.Rank != next.Rank {
+			continue
+		}
+		if i := slices.IndexFunc(l.work, func(w Work) bool { return !q.named[w.ID] }); i >= 0 {
+			own = append(own, l.work[i])
+		}
+	}
+	w, found := q.pick(own)
+	if !found || q.served.Callers[w.turn()] > q.served.Callers[next.turn()]+turnSlack {
+		return Work{}, false
+	}
+	q.named[w.ID] = true
 	return w, true
 }
 
+// Named tells whether work waits that Follow named.
+func (q *Queue) Named(id uint64) bool { return q.named[id] }
+
+// Unname takes back what Follow named.
+func (q *Queue) Unname(id uint64) { delete(q.named, id) }
+
 // The counts fade, so that a rank or caller that was idle gains no credit that
 // lasts, and the table of callers stays bounded.
 const (
