--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -163,9 +163,14 @@
 	return books
 }
 
+// loginOf returns how to log in at a member for one kind of traffic.
+func loginOf(s config.Settings, m view.Member, kind meter.Kind, bytes *meter.Meter) member.Login {
+	return member.Login{User: s.MemberUser, Password: s.MemberPassword, Host: s.Host, Dial: bytes.Dial(kind, m.Region)}
+}
+
 func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh, bytes *meter.Meter) *ctrl.Bases {
 	login := func(m view.Member, kind meter.Kind) member.Login {
-		return member.Login{User: s.MemberUser, Password: s.MemberPassword, Dial: bytes.Dial(kind, m.Region)}
+		return loginOf(s, m, kind, bytes)
 	}
 	bases, cleanUp := ctrl.NewBases(ctrl.BasesOptions{
 		Base: ctrl.BaseOptions{
@@ -202,7 +207,7 @@
 		Books:   books,
 		Bases:   bases,
 		Dial: func(m view.Member) member.Control {
-			return member.NewLink(m.Address, member.Login{User: s.MemberUser, Password: s.MemberPassword, Dial: bytes.Dial(meter.Control, m.Region)})
+			return member.NewLink(m.Address, loginOf(s, m, meter.Control, bytes))
 		},
 		Log: log,
 	})
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -41,13 +41,13 @@
 	Owner uint64
 
 	pool *member.Pool
-	done func()
+	slot Slot
 }
 
 // Release gives the connection back. A connection that is not clean is closed.
 func (l *Lease) Release(clean bool) {
 	l.pool.Put(l.Conn, clean)
-	l.done()
+	l.slot.Release()
 }
 
 // Request is one batch of a caller, with what the filters find out about it.
@@ -122,11 +122,22 @@
 	Slots Slots
 }
 
+// Slot is the right to run one request on a member.
+type Slot struct {
+	// Until is when the slot lapses, unless the request has been sent by then.
+	Until time.Time
+	// Release gives the slot back. It must be called once.
+	Release func()
+}
+
+// Lapsed tells whether the slot may no longer be used to begin work.
+func (s Slot) Lapsed(now time.Time) bool { return !now.Before(s.Until) }
+
 // Slots rations how many requests run on a member at a time.
 type Slots interface {
-	// Acquire waits for a slot of a member until the request's deadline, and
-	// returns the function that gives the slot back. Its faults are not run.
-	Acquire(ctx context.Context, database string, m view.Member, r *Request) (func(), error)
+	// Acquire waits for a slot of a member until the request's deadline. Its
+	// faults are not run.
+	Acquire(ctx context.Context, database string, m view.Member, r *Request) (Slot, error)
 }
 
 // New returns the chain in the order in which its filters run.
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -142,8 +142,20 @@
 	}
 }
 
+// lease takes a slot and a connection. A slot that lapsed while a connection was
+// opened is given back, and another one asked for.
 func (f *filters) lease(ctx context.Context, r *Request, m view.Member) (*Lease, error) {
-	done, err := f.Slots.Acquire(ctx, r.Work.Database, m, r)
+	for {
+		l, err := f.leaseOnce(ctx, r, m)
+		if err != nil || !l.slot.Lapsed(time.Now()) {
+			return l, err
+		}
+		l.Release(true)
+	}
+}
+
+func (f *filters) leaseOnce(ctx context.Context, r *Request, m view.Member) (*Lease, error) {
+	slot, err := f.Slots.Acquire(ctx, r.Work.Database, m, r)
 	if err != nil {
 		return nil, err
 	}
@@ -154,8 +166,8 @@
 	pool := f.Bases.Pool(r.Work.Database, m)
 	conn, err := pool.Get(ctx, mode)
 	if err != nil {
-		done()
+		slot.Release()
 		return nil, err
 	}
-	return &Lease{Conn: conn, Member: m, MayWrite: r.Write(), Owner: r.Caller.ID, pool: pool, done: done}, nil
+	return &Lease{Conn: conn, Member: m, MayWrite: r.Write(), Owner: r.Caller.ID, pool: pool, slot: slot}, nil
 }
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -39,6 +39,10 @@
 		f.drop(r, false)
 		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
 	}
+	if !r.pinned && l.slot.Lapsed(time.Now()) {
+		f.drop(r, true)
+		return fault.New(fault.Undispatched, "send", "the slot of %s lapsed before the work was sent", l.Member.Name)
+	}
 	r.sends++
 	r.Track(l)
 	defer r.Track(nil)
--- a/internal/chain/run_test.go
+++ b/internal/chain/run_test.go
@@ -17,6 +17,7 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -67,6 +68,11 @@
 
 // runOn runs one extended statement that may write on a scripted member.
 func runOn(t *testing.T, address string) (*Request, error) {
+	return runUntil(t, address, time.Now().Add(time.Minute))
+}
+
+// runUntil does so with a slot that lapses at a time.
+func runUntil(t *testing.T, address string, lapses time.Time) (*Request, error) {
 	g := NewWithT(t)
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
@@ -84,7 +90,7 @@
 	}
 	r := &Request{
 		Batch: batch, Out: wire.NewWriter(&sink{}), Track: func(*Lease) {}, Deadline: time.Now().Add(time.Minute),
-		Lease: &Lease{Conn: conn, Member: view.Member{Name: "m"}, MayWrite: true, pool: pool, done: func() {}},
+		Lease: &Lease{Conn: conn, Member: view.Member{Name: "m"}, MayWrite: true, pool: pool, slot: Slot{Until: lapses, Release: func() {}}},
 	}
 	return r, f.run(context.Background(), r)
 }
@@ -140,3 +146,11 @@
 	g.Expect(err.Error()).To(ContainSubstring("unconfirmed"))
 	g.Expect(r.Committed.IsZero()).To(BeTrue())
 }
+
+func TestALapsedSlotIsNotUsed(t *testing.T) {
+	g := NewWithT(t)
+	r, err := runUntil(t, scriptedMember(t), time.Now().Add(-time.Nanosecond))
+	g.Expect(fault.Of(err).Kind).To(Equal(fault.Undispatched))
+	g.Expect(fault.Of(err).Kind.Outcome()).To(Equal(fault.NotRun))
+	g.Expect(r.sends).To(BeZero())
+}
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -13,7 +13,6 @@
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/peer"
-	"poplarrouter.example/poplarrouter/internal/pick"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/fault"
@@ -69,12 +68,12 @@
 	mu       sync.Mutex
 	stations map[string]*ownedStation
 	remotes  map[remoteKey]*remote
+	opinions map[opinionKey]opinion
 	wants    map[uint64]*want
 	holds    map[uint64]*hold
-	// firstID and lastID bound the numbers of this proxy's requests. They begin
-	// at random, so that a peer takes none for one of an earlier process.
-	firstID uint64
-	lastID  uint64
+	// lastID is the number of this proxy's last request. The numbers begin at
+	// random, so that a peer takes none for one of an earlier process.
+	lastID uint64
 }
 
 type ownedStation struct {
@@ -91,11 +90,11 @@
 		options:  options,
 		stations: make(map[string]*ownedStation),
 		remotes:  make(map[remoteKey]*remote),
+		opinions: make(map[opinionKey]opinion),
 		wants:    make(map[uint64]*want),
 		holds:    make(map[uint64]*hold),
-		firstID:  randomID(),
+		lastID:   randomID(),
 	}
-	d.lastID = d.firstID
 	return d, duty.Run(d.followList)
 }
 
@@ -168,10 +167,9 @@
 	return nil
 }
 
-// place returns this proxy's place among the candidates to lead a member: the
-// live hosts of its region, or all if there are none, without a silent
-// dispatcher.
-func (d *Dispatch) place(key, region, dispatcher string) int {
+// candidates returns the proxies that may lead a member: the live hosts of its
+// region, or all if there are none, without the present dispatcher.
+func (d *Dispatch) candidates(region, dispatcher string) []string {
 	var near, all []string
 	for _, h := range d.options.Books.Book().Hosts() {
 		if h.Leaving || h.Name == dispatcher {
@@ -183,9 +181,9 @@
 		}
 	}
 	if len(near) == 0 {
-		near = all
+		return all
 	}
-	return pick.Place(key, d.options.Host, near)
+	return near
 }
 
 // Queues returns the gates that this proxy leads, by database and member.
@@ -203,22 +201,22 @@
 
 // Acquire implements chain.Slots. A request whose dispatcher changes while it
 // waits asks the next one.
-func (d *Dispatch) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (func(), error) {
+func (d *Dispatch) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (chain.Slot, error) {
 	for {
 		s := d.station(database, m.Name)
-		release, err := d.acquireOnce(ctx, s, r)
+		slot, err := d.acquireOnce(ctx, s, r)
 		if err == nil || fault.Of(err).Kind != fault.Undispatched || ctx.Err() != nil {
-			return release, err
+			return slot, err
 		}
 		if !s.awaitChange(ctx) {
-			return nil, err
+			return chain.Slot{}, err
 		}
 	}
 }
 
-func (d *Dispatch) acquireOnce(ctx context.Context, s *station, r *chain.Request) (func(), error) {
+func (d *Dispatch) acquireOnce(ctx context.Context, s *station, r *chain.Request) (chain.Slot, error) {
 	if s == nil {
-		return nil, fault.New(fault.Undispatched, "wait for slot", "the member is not watched yet")
+		return chain.Slot{}, fault.New(fault.Undispatched, "wait for slot", "the member is not watched yet")
 	}
 	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Deadline}
 	if g := s.gate.Load(); g != nil {
@@ -226,7 +224,7 @@
 	}
 	dispatcher := s.holder.Load()
 	if dispatcher == "" || dispatcher == d.options.Host {
-		return nil, fault.New(fault.Undispatched, "wait for slot", "no proxy gives out the slots of %s", s.key())
+		return chain.Slot{}, fault.New(fault.Undispatched, "wait for slot", "no proxy gives out the slots of %s", s.key())
 	}
 	return d.acquireFrom(ctx, s, dispatcher, work)
 }
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -119,9 +119,9 @@
 		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 		defer cancel()
 		r := &chain.Request{Arrived: time.Now(), Deadline: time.Now().Add(time.Minute)}
-		release, err := d.Acquire(ctx, "stock", view.Member{Name: "m0"}, r)
+		slot, err := d.Acquire(ctx, "stock", view.Member{Name: "m0"}, r)
 		g.Expect(err).NotTo(HaveOccurred())
-		release()
+		slot.Release()
 		list(0)
 		time.Sleep(time.Second)
 		short, cancelShort := context.WithTimeout(t.Context(), time.Second)
--- /dev/null
+++ b/internal/gate/doubt.go
@@ -0,0 +1,86 @@
+package gate
+
+import (
+	"slices"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/pick"
+)
+
+const (
+	// maxJudges bounds how many proxies judge whether a dispatcher is silent.
+	maxJudges = 9
+	// doubtPeriod is how often a proxy asks about a dispatcher that it doubts.
+	doubtPeriod = 250 * time.Millisecond
+	// opinionLife is how long another proxy's opinion counts.
+	opinionLife = 2 * doubtPeriod
+)
+
+// opinion is what another proxy said of a dispatcher.
+type opinion struct {
+	silent bool
+	at     time.Time
+}
+
+type opinionKey struct {
+	from string
+	of   string
+}
+
+// TakeDoubt implements peer.Handler. A proxy that has not been heard for a while
+// is asked itself, so that the next opinion rests on its answer.
+func (d *Dispatch) TakeDoubt(doubt peer.Doubt) peer.Opinion {
+	if doubt.Host == d.options.Host {
+		return peer.Opinion{Host: doubt.Host}
+	}
+	age := time.Since(d.options.Peers.Heard(doubt.Host))
+	if age > d.options.Silence/2 {
+		d.options.Peers.Send(doubt.Host, peer.Frame{Doubt: &doubt})
+	}
+	return peer.Opinion{Host: doubt.Host, Silent: age > d.options.Silence}
+}
+
+// TakeOpinion implements peer.Handler.
+func (d *Dispatch) TakeOpinion(host string, o peer.Opinion) {
+	if host == o.Host {
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.opinions[opinionKey{from: host, of: o.Host}] = opinion{silent: o.Silent, at: time.Now()}
+}
+
+// judges returns the proxies that judge a dispatcher of a member, and whether
+// this proxy is one of them.
+func (s *station) judges(dispatcher string) (others []string, self bool) {
+	names := pick.First(s.key(), s.dispatch.candidates(s.member.Region, dispatcher), maxJudges)
+	i := slices.Index(names, s.dispatch.options.Host)
+	if i < 0 {
+		return names, false
+	}
+	return slices.Delete(names, i, i+1), true
+}
+
+// doubt asks the dispatcher whether it is there, and the other judges whether
+// they hear it.
+func (s *station) doubt(dispatcher string, others []string) {
+	for _, host := range append(others, dispatcher) {
+		s.dispatch.options.Peers.Send(host, peer.Frame{Doubt: &peer.Doubt{Host: dispatcher}})
+	}
+}
+
+// condemned tells whether most of the judges, this proxy included, say that the
+// dispatcher is silent. A proxy that is cut off alone does not suffice.
+func (d *Dispatch) condemned(dispatcher string, others []string, now time.Time) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	silent := 1
+	for _, host := range others {
+		o, known := d.opinions[opinionKey{from: host, of: dispatcher}]
+		if known && o.silent && now.Sub(o.at) <= opinionLife {
+			silent++
+		}
+	}
+	return 2*silent > len(others)+1
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -14,8 +14,10 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
@@ -28,6 +30,9 @@
 	waiters map[uint64]Waiter
 	nextID  uint64
 	closed  bool
+	// proven is when the last question was asked to which the member answered
+	// that this proxy is its dispatcher.
+	proven atomic.Pointer[time.Time]
 }
 
 // Waiter is told what becomes of its work. Its methods must neither wait nor
@@ -47,11 +52,20 @@
 	_ Waiter = (*remote)(nil)
 )
 
-// New returns a gate with so many slots.
-func New(rules slots.Rules, count int) *Gate {
-	return &Gate{lender: slots.NewLender(rules, count), waiters: make(map[uint64]Waiter)}
+// New returns a gate with so many slots of a member that was asked at a time and
+// named this proxy its dispatcher.
+func New(rules slots.Rules, count int, asked time.Time) *Gate {
+	g := &Gate{lender: slots.NewLender(rules, count), waiters: make(map[uint64]Waiter)}
+	g.Prove(asked)
+	return g
 }
 
+// Prove notes that the member, asked at a time, named this proxy its dispatcher.
+func (g *Gate) Prove(asked time.Time) { g.proven.Store(&asked) }
+
+// until returns when a slot that is given now lapses.
+func (g *Gate) until() time.Time { return g.proven.Load().Add(slotLife) }
+
 // Counts returns how many slots are free and in use, and how many requests wait.
 func (g *Gate) Counts() (free, lent, waiting int) {
 	g.mu.Lock()
@@ -159,20 +173,19 @@
 // MayFollow implements Waiter. Work of this proxy asks without a message.
 func (local) MayFollow(uint64) {}
 
-// Acquire waits for a slot, and returns the function that gives it back. The
-// work's ID is set by the gate.
-func (g *Gate) Acquire(ctx context.Context, w slots.Work) (func(), error) {
+// Acquire waits for a slot. The work's ID is set by the gate.
+func (g *Gate) Acquire(ctx context.Context, w slots.Work) (chain.Slot, error) {
 	w.ID = g.Reserve()
 	answer := make(local, 1)
 	g.Ask(w, answer)
 	select {
 	case err := <-answer:
 		if err != nil {
-			return nil, err
+			return chain.Slot{}, err
 		}
-		return func() { g.Done(w.ID) }, nil
+		return chain.Slot{Until: g.until(), Release: func() { g.Done(w.ID) }}, nil
 	case <-ctx.Done():
 		g.Done(w.ID)
-		return nil, fault.New(fault.Late, "wait for slot", "no slot became free within the deadline")
+		return chain.Slot{}, fault.New(fault.Late, "wait for slot", "no slot became free within the deadline")
 	}
 }
--- a/internal/gate/reclaim.go
+++ b/internal/gate/reclaim.go
@@ -1,83 +1,84 @@
 package gate
 
 import (
+	"context"
 	"time"
 
-	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/member"
 )
 
-const (
-	// remindAfter is how long a peer may use a slot before it is asked whether
-	// it still does, and before it is asked again.
-	remindAfter = time.Second
-	// activeLooks is over how many looks at the member the greatest number of
-	// statements in progress counts. A slot that is in use may have no statement
-	// at the member for a moment.
-	activeLooks = 4
-)
-
-// remind tells the peers that use slots for long which they are. A peer that
-// has given one back says so again.
-func (d *Dispatch) remind(g *Gate, now time.Time) {
-	for _, r := range d.remotesOf(g, func(r *remote) bool { return r.given && now.Sub(r.reminded) >= remindAfter }) {
-		d.mu.Lock()
-		r.reminded = now
-		grant := r.grant()
-		d.mu.Unlock()
-		d.options.Peers.Send(r.work.Host, peer.Frame{Grant: &grant})
+// reclaim frees the slots that other proxies have been given and no longer use:
+// their word may have been lost, or they ended, or never heard of it. A proxy
+// may begin work on a slot for slotLife after it was last told of it, so that
+// work on one that it was told of earlier shows at the member, if there is any.
+func (s *station) reclaim(ctx context.Context, control member.Control, g *Gate) {
+	d := s.dispatch
+	told := time.Now().Add(-firstWait)
+	byHost := make(map[string][]*remote)
+	for _, r := range d.remotesOf(func(r *remote) bool { return r.gate == g && r.given && r.told.Before(told) }) {
+		byHost[r.work.Host] = append(byHost[r.work.Host], r)
+	}
+	for host, old := range byHost {
+		busy, err := s.busy(ctx, control, host)
+		if err != nil {
+			return
+		}
+		for _, r := range old[:max(len(old)-busy, 0)] {
+			d.endOld(r, told)
+		}
 	}
 }
 
-// reclaim frees the slots of proxies that went silent or were replaced, as far
-// as the member is found not to use them, and forgets what else they wanted. A
-// proxy that was only cut off from this one may still run its work; its slots
-// stay counted until that has ended.
-func (d *Dispatch) reclaim(g *Gate, idle int, now time.Time) {
-	silent := func(r *remote) bool {
-		return now.Sub(d.options.Peers.Heard(r.work.Host)) > d.options.Silence
+func (s *station) busy(ctx context.Context, control member.Control, host string) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, s.dispatch.options.Timeout)
+	defer cancel()
+	return control.Busy(ctx, host)
+}
+
+// endOld frees a slot of which its proxy was told before a time, and not again
+// meanwhile.
+func (d *Dispatch) endOld(r *remote, told time.Time) {
+	d.mu.Lock()
+	ends := d.remotes[r.key()] == r && r.told.Before(told)
+	if ends {
+		delete(d.remotes, r.key())
 	}
-	for _, r := range d.remotesOf(g, func(r *remote) bool { return !r.given && silent(r) }) {
-		d.end(r)
+	d.mu.Unlock()
+	if ends {
+		r.gate.Done(r.work.ID)
 	}
-	gone := d.remotesOf(g, func(r *remote) bool {
-		return r.given && now.Sub(r.since) > d.options.Silence && (r.orphan || silent(r))
+}
+
+// dropSilent takes the requests of proxies that went silent out of the queue.
+func (d *Dispatch) dropSilent(g *Gate, now time.Time) {
+	d.dropWaiting(func(r *remote) bool {
+		return r.gate == g && now.Sub(d.options.Peers.Heard(r.work.Host)) > d.options.Silence
 	})
-	for _, r := range gone[:min(len(gone), max(idle, 0))] {
-		d.end(r)
-	}
 }
 
-func (d *Dispatch) end(r *remote) {
-	if d.takeRemote(r.key()) != nil {
-		r.gate.Done(r.work.ID)
+// TakeLoss takes the requests of a proxy out of the queues whose connection has
+// ended. If it lives it asks again.
+func (d *Dispatch) TakeLoss(host string) {
+	d.dropWaiting(func(r *remote) bool { return r.work.Host == host })
+}
+
+// dropWaiting takes requests out of the queues that have no slot.
+func (d *Dispatch) dropWaiting(wanted func(*remote) bool) {
+	for _, r := range d.remotesOf(func(r *remote) bool { return !r.given && wanted(r) }) {
+		if d.takeRemote(r.key()) != nil {
+			r.gate.Done(r.work.ID)
+		}
 	}
 }
 
-func (d *Dispatch) remotesOf(g *Gate, wanted func(*remote) bool) []*remote {
+func (d *Dispatch) remotesOf(wanted func(*remote) bool) []*remote {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	var list []*remote
 	for _, r := range d.remotes {
-		if r.gate == g && wanted(r) {
+		if wanted(r) {
 			list = append(list, r)
 		}
 	}
 	return list
 }
-
-// peaks holds the last numbers of statements in progress at a member.
-type peaks struct {
-	last [activeLooks]int
-	next int
-}
-
-// with returns the peaks after one more look, and the greatest of them.
-func (p peaks) with(active int) (peaks, int) {
-	p.last[p.next%activeLooks] = active
-	p.next++
-	greatest := 0
-	for _, n := range p.last {
-		greatest = max(greatest, n)
-	}
-	return p, greatest
-}
--- a/internal/gate/remote.go
+++ b/internal/gate/remote.go
@@ -13,16 +13,15 @@
 	dispatch *Dispatch
 	gate     *Gate
 	work     slots.Work
+	// asked is when the peer asked first, or later by the time of the message.
+	asked time.Time
 
 	// The dispatch's lock guards the rest.
 	answer func(peer.Grant)
 	given  bool
-	// since is when the slot was given, and reminded when the peer was last told.
-	since    time.Time
-	reminded time.Time
-	next     uint64
-	// orphan tells that the peer knows nothing of the slot.
-	orphan bool
+	// told is when the peer was last told that the slot is its own.
+	told time.Time
+	next uint64
 }
 
 type remoteKey struct {
@@ -32,15 +31,12 @@
 
 func (r *remote) key() remoteKey { return remoteKey{host: r.work.Host, number: r.work.Number} }
 
-// give notes that the work has a slot. The dispatch's lock must be held.
-func (r *remote) give(now time.Time) { r.given, r.since, r.reminded = true, now, now }
-
 // Granted implements Waiter.
 func (r *remote) Granted() {
 	r.dispatch.mu.Lock()
 	defer r.dispatch.mu.Unlock()
-	r.give(time.Now())
-	r.answer(r.grant())
+	r.given = true
+	r.answer(r.grant(time.Now()))
 }
 
 // Refused implements Waiter.
@@ -57,10 +53,15 @@
 	r.dispatch.mu.Lock()
 	defer r.dispatch.mu.Unlock()
 	r.next = number
-	r.answer(r.grant())
+	r.answer(r.grant(time.Now()))
 }
 
-func (r *remote) grant() peer.Grant { return peer.Grant{ID: r.work.Number, Given: true, Next: r.next} }
+// grant returns the answer that the slot is given. The dispatch's lock must be
+// held.
+func (r *remote) grant(now time.Time) peer.Grant {
+	r.told = now
+	return peer.Grant{ID: r.work.Number, Given: true, Next: r.next, Waited: now.Sub(r.asked), Life: r.gate.until().Sub(now)}
+}
 
 // TakeWant takes another proxy's request for a slot. One that comes again is
 // answered again.
@@ -78,7 +79,7 @@
 	work := slots.Work{
 		ID: g.Reserve(), Host: host, Number: w.ID, Caller: w.Caller, Rank: w.Rank, Arrived: now, Deadline: now.Add(w.Left),
 	}
-	r := &remote{dispatch: d, gate: g, work: work, answer: answer}
+	r := &remote{dispatch: d, gate: g, work: work, answer: answer, asked: now.Add(-w.Waited)}
 	if d.addRemote(r) {
 		g.Ask(work, r)
 	}
@@ -92,7 +93,7 @@
 	if known, found := d.remotes[r.key()]; found {
 		known.answer = r.answer
 		if known.given {
-			known.answer(known.grant())
+			known.answer(known.grant(time.Now()))
 		}
 		return false
 	}
@@ -112,12 +113,7 @@
 // TakeDone takes a slot back, or a request out of the queue, or notes that the
 // slot is used by the next request.
 func (d *Dispatch) TakeDone(host string, done peer.Done) {
-	key := remoteKey{host: host, number: done.ID}
-	if done.Unknown {
-		d.orphan(key)
-		return
-	}
-	r := d.takeRemote(key)
+	r := d.takeRemote(remoteKey{host: host, number: done.ID})
 	switch {
 	case r == nil && done.Next != 0:
 		d.charge(remoteKey{host: host, number: done.Next})
@@ -134,7 +130,7 @@
 	d.mu.Lock()
 	r := d.remotes[key]
 	if r != nil {
-		r.give(time.Now())
+		r.given, r.told = true, time.Now()
 	}
 	d.mu.Unlock()
 	if r != nil {
@@ -146,7 +142,7 @@
 // request that is not known was turned away while it began.
 func (d *Dispatch) follow(ended *remote, number uint64) {
 	unknown := &remote{
-		dispatch: d, gate: ended.gate, answer: ended.answer,
+		dispatch: d, gate: ended.gate, answer: ended.answer, asked: ended.asked,
 		work: slots.Work{ID: ended.gate.Reserve(), Host: ended.work.Host, Number: number},
 	}
 	d.mu.Lock()
@@ -155,19 +151,11 @@
 		next = unknown
 		d.remotes[next.key()] = next
 	}
-	next.give(time.Now())
+	next.given, next.told = true, time.Now()
 	d.mu.Unlock()
 	ended.gate.Followed(ended.work.ID, next.work, next)
 }
 
-func (d *Dispatch) orphan(key remoteKey) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	if r, found := d.remotes[key]; found {
-		r.orphan = true
-	}
-}
-
 // dropRemotes forgets the requests at a gate that is closed.
 func (d *Dispatch) dropRemotes(g *Gate) {
 	d.mu.Lock()
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -8,6 +8,7 @@
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pick"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -16,19 +17,18 @@
 const (
 	// lookPeriod is how often a proxy looks whether it should lead.
 	lookPeriod = 100 * time.Millisecond
-	// turnDelay is how much later each further proxy tries to lead.
-	turnDelay = 100 * time.Millisecond
+	// turnDelay is how much later each further proxy tries to lead, and
+	// isolatedDelay how much later one does that hears too few others.
+	turnDelay     = 100 * time.Millisecond
+	isolatedDelay = time.Second
 	// pingPeriod is how often the leading connection is tried.
 	pingPeriod = 250 * time.Millisecond
-	// settleTime is how long a new dispatcher waits at most for the slots that
-	// its predecessor gave out.
-	settleTime = 500 * time.Millisecond
-	// settleLook is how often it looks meanwhile.
-	settleLook = 10 * time.Millisecond
-	// firstWait covers grants of the predecessor that are not in use yet.
-	firstWait = 2 * grantLife
-	// grantLife is how long a grant may be under way.
-	grantLife = 50 * time.Millisecond
+	// slotLife is how long after a member named its dispatcher the slots that the
+	// dispatcher gives may be used to begin work.
+	slotLife = 600 * time.Millisecond
+	// firstWait is how long a new dispatcher waits before it gives any slots, so
+	// that those of its predecessor have lapsed or show at the member.
+	firstWait = slotLife + 50*time.Millisecond
 )
 
 // Intent is what a proxy should do about a member's dispatch.
@@ -57,18 +57,26 @@
 	Vacant time.Duration
 	// Silence is how long a dispatcher must be silent before it is evicted.
 	Silence time.Duration
+	// Condemned tells that most proxies that judge it find the dispatcher silent.
+	Condemned bool
+	// Isolated tells that the proxy hears less than half of the others that may
+	// lead the member.
+	Isolated bool
 }
 
 // Decide returns what to do. Candidates act one after the other, so that the
 // first one's success is seen by the next.
 func Decide(s Sight) Intent {
 	turn := time.Duration(s.Place) * turnDelay
+	if s.Isolated {
+		turn += isolatedDelay
+	}
 	switch {
 	case s.Place < 0 || s.Dispatcher == s.Self:
 		return Wait
 	case s.Dispatcher == "" && s.Vacant >= turn:
 		return Lead
-	case s.Dispatcher != "" && s.Vacant >= s.Silence+turn:
+	case s.Condemned && s.Vacant >= s.Silence+turn:
 		return Evict
 	default:
 		return Wait
@@ -86,7 +94,10 @@
 	// wait for its grant.
 	holder *duty.Cell[string]
 	slots  int
-	vacant time.Time
+	// vacant is since when there is no dispatcher, or it is silent, and doubted
+	// is when the other proxies were asked about it last.
+	vacant  time.Time
+	doubted time.Time
 }
 
 func newStation(d *Dispatch, w ctrl.Watched, m view.Member) *station {
@@ -135,19 +146,50 @@
 		return sight
 	}
 	sight.Dispatcher = r.State.Dispatcher
-	sight.Place = s.dispatch.place(s.key(), s.member.Region, sight.Dispatcher)
-	if sight.Dispatcher != "" {
-		if last := o.Peers.Heard(sight.Dispatcher); last.After(s.vacant) {
-			s.vacant = last
-		}
-		if sight.Dispatcher == o.Host {
-			s.vacant = now
-		}
+	sight.Place = pick.Place(s.key(), o.Host, s.dispatch.candidates(s.member.Region, sight.Dispatcher))
+	switch sight.Dispatcher {
+	case "":
+		sight.Isolated = s.isolated(now)
+	case o.Host:
+		s.vacant = now
+	default:
+		sight.Condemned = s.judge(sight.Dispatcher, now)
 	}
 	sight.Vacant = now.Sub(s.vacant)
 	return sight
 }
 
+// isolated tells whether this proxy hears less than half of the others that may
+// lead the member.
+func (s *station) isolated(now time.Time) bool {
+	others, _ := s.judges("")
+	heard := 0
+	for _, host := range others {
+		if now.Sub(s.dispatch.options.Peers.Heard(host)) <= s.dispatch.options.Silence {
+			heard++
+		}
+	}
+	return 2*heard < len(others)
+}
+
+// judge follows how long the dispatcher has been silent, and tells whether most
+// judges find it so.
+func (s *station) judge(dispatcher string, now time.Time) bool {
+	o := s.dispatch.options
+	if last := o.Peers.Heard(dispatcher); last.After(s.vacant) {
+		s.vacant = last
+	}
+	if now.Sub(s.vacant) < o.Silence/2 {
+		return false
+	}
+	others, judges := s.judges(dispatcher)
+	if judges && now.Sub(s.doubted) >= doubtPeriod {
+		s.doubted = now
+		s.doubt(dispatcher, others)
+	}
+	return judges && s.dispatch.condemned(dispatcher, others, now)
+}
+
 func (s *station) key() string { return stationKey(s.database, s.member.Name) }
 
 func stationKey(database, member string) string { return database + "/" + member }
@@ -172,15 +214,12 @@
 func (s *station) lead(ctx context.Context) {
 	control := s.dispatch.options.Dial(s.member)
 	defer control.Close()
-	state, err := s.ask(ctx, func(ctx context.Context) (group.State, error) {
-		return control.Lead(ctx, s.dispatch.options.Host)
-	})
+	taken, asked, err := s.begin(ctx, control)
 	if err != nil {
 		s.vacant = time.Now()
 		return
 	}
-	taken := s.settle(ctx, control, state)
-	g := New(slots.DefaultRules(s.dispatch.options.Queue), max(s.slots-taken, 0))
+	g := New(slots.DefaultRules(s.dispatch.options.Queue), max(s.slots-taken, 0), asked)
 	s.gate.Store(g)
 	s.note(event.DispatchBegun, event.Fields{"Slots": s.slots, "Taken": taken})
 	s.keep(ctx, control, g, taken)
@@ -197,46 +236,41 @@
 	return question(ctx)
 }
 
-// settle waits until the slots that the dispatcher before gave out are free, or
-// settleTime is over, and returns how many are still in use.
-func (s *station) settle(ctx context.Context, control member.Control, state group.State) int {
-	began := time.Now()
-	duty.Pause(ctx, firstWait)
-	for {
-		next, err := s.ask(ctx, control.Ask)
-		if err == nil {
-			state = next
-		}
-		if state.Active == 0 || time.Since(began) >= settleTime || ctx.Err() != nil || err != nil {
-			return state.Active
-		}
-		duty.Pause(ctx, settleLook)
+// begin takes the dispatch, and returns how many slots are still in use after
+// those that the dispatcher before gave out have lapsed, and when that was asked.
+func (s *station) begin(ctx context.Context, control member.Control) (taken int, asked time.Time, err error) {
+	_, err = s.ask(ctx, func(ctx context.Context) (group.State, error) {
+		return control.Lead(ctx, s.dispatch.options.Host)
+	})
+	if err != nil {
+		return 0, time.Time{}, err
 	}
+	duty.Pause(ctx, firstWait)
+	asked = time.Now()
+	state, err := s.ask(ctx, control.Ask)
+	return state.Active, asked, err
 }
 
 // keep tries the leading connection until it fails. Slots that were in use from
 // before are added to the gate as the member is found to use fewer.
 func (s *station) keep(ctx context.Context, control member.Control, g *Gate, taken int) {
-	var seen peaks
 	for {
 		duty.Pause(ctx, pingPeriod)
 		if ctx.Err() != nil {
 			return
 		}
+		asked := time.Now()
 		state, err := s.ask(ctx, control.Ask)
 		if err != nil || state.Dispatcher != s.dispatch.options.Host {
 			return
 		}
+		g.Prove(asked)
 		if state.Active < taken {
 			g.Add(taken - state.Active)
 			taken = state.Active
 		}
-		var active int
-		seen, active = seen.with(state.Active)
-		_, lent, _ := g.Counts()
-		now := time.Now()
-		s.dispatch.reclaim(g, lent+taken-active, now)
-		s.dispatch.remind(g, now)
+		s.reclaim(ctx, control, g)
+		s.dispatch.dropSilent(g, time.Now())
 		g.Settle()
 	}
 }
--- a/internal/gate/want.go
+++ b/internal/gate/want.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
-	"slices"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/pkg/fault"
@@ -15,7 +15,15 @@
 	station    *station
 	dispatcher string
 	// answer has room for one answer.
-	answer chan peer.Grant
+	answer chan answer
+	// asked is when the dispatcher was asked first.
+	asked time.Time
+}
+
+// answer is what a request is told: that it has a slot until a time, or why not.
+type answer struct {
+	until time.Time
+	err   error
 }
 
 // hold is a slot that this proxy has of another one.
@@ -23,8 +31,8 @@
 	*want
 	// next is the request that may use the slot next without asking, or 0.
 	next uint64
-	// run holds the earlier requests that used the slot.
-	run []uint64
+	// until is when the slot lapses.
+	until time.Time
 }
 
 // askAgain is how long a request waits before it asks once more, since the
@@ -33,18 +41,18 @@
 
 // acquireFrom asks another proxy for a slot, for as long as it is the
 // dispatcher.
-func (d *Dispatch) acquireFrom(ctx context.Context, s *station, dispatcher string, work slots.Work) (func(), error) {
-	w := &want{station: s, dispatcher: dispatcher, answer: make(chan peer.Grant, 1)}
+func (d *Dispatch) acquireFrom(ctx context.Context, s *station, dispatcher string, work slots.Work) (chain.Slot, error) {
+	w := &want{station: s, dispatcher: dispatcher, answer: make(chan answer, 1), asked: time.Now()}
 	id := d.addWant(w)
 	release := func() { d.giveBack(id) }
 	ask := func() bool {
 		return d.options.Peers.Send(dispatcher, peer.Frame{Want: &peer.Want{
-			ID: id, Database: s.database, Member: s.member.Name, Caller: work.Caller, Rank: work.Rank, Left: time.Until(work.Deadline),
+			ID: id, Database: s.database, Member: s.member.Name, Caller: work.Caller, Rank: work.Rank, Left: time.Until(work.Deadline), Waited: time.Since(w.asked),
 		}})
 	}
 	if !ask() {
 		release()
-		return nil, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s cannot be reached", dispatcher)
+		return chain.Slot{}, fault.New(fault.Undispatched, "wait for slot", "dispatcher %s cannot be reached", dispatcher)
 	}
 	again := time.NewTicker(askAgain)
 	defer again.Stop()
@@ -52,17 +60,17 @@
 		holder, changed := s.holder.Watch()
 		if holder != dispatcher {
 			release()
-			return nil, errReplaced(dispatcher)
+			return chain.Slot{}, errReplaced(dispatcher)
 		}
 		select {
-		case g := <-w.answer:
-			return d.answered(w, g, release)
+		case a := <-w.answer:
+			return chain.Slot{Until: a.until, Release: release}, a.err
 		case <-changed:
 		case <-again.C:
 			ask()
 		case <-ctx.Done():
 			release()
-			return nil, fault.New(fault.Late, "wait for slot", "dispatcher %s gave no slot within the deadline", dispatcher)
+			return chain.Slot{}, fault.New(fault.Late, "wait for slot", "dispatcher %s gave no slot within the deadline", dispatcher)
 		}
 	}
 }
@@ -71,18 +79,10 @@
 	return fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
 }
 
-func (d *Dispatch) answered(w *want, g peer.Grant, release func()) (func(), error) {
-	switch {
-	case !g.Given:
-		return nil, fault.New(g.Refusal, "wait for slot", "%s", g.Detail)
-	case w.station.dispatcher() != w.dispatcher:
-		// The next dispatcher may have given the slot to another.
-		release()
-		return nil, errReplaced(w.dispatcher)
-	default:
-		return release, nil
-	}
-}
+// until returns when a slot lapses by the dispatcher's word. The two clocks are
+// not compared: both count from the request, which this proxy sent before the
+// dispatcher received it.
+func (w *want) until(g peer.Grant) time.Time { return w.asked.Add(g.Waited + g.Life) }
 
 func (d *Dispatch) addWant(w *want) uint64 {
 	d.mu.Lock()
@@ -95,17 +95,17 @@
 // giveBack ends a request: it withdraws it, or gives its slot back, or uses the
 // slot for the request that may follow.
 func (d *Dispatch) giveBack(id uint64) {
-	done, dispatcher, follower := d.endWant(id)
+	done, dispatcher, follower := d.endWant(id, time.Now())
 	if dispatcher == "" {
 		return
 	}
 	d.options.Peers.Send(dispatcher, peer.Frame{Done: &done})
 	if follower != nil {
-		follower.answer <- peer.Grant{ID: done.Next, Given: true}
+		follower.answer <- answer{until: follower.until}
 	}
 }
 
-func (d *Dispatch) endWant(id uint64) (done peer.Done, dispatcher string, follower *want) {
+func (d *Dispatch) endWant(id uint64, now time.Time) (done peer.Done, dispatcher string, follower *hold) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	done.ID = id
@@ -118,45 +118,39 @@
 		return done, "", nil
 	}
 	delete(d.holds, id)
-	follower = d.wants[h.next]
-	if follower == nil || follower.station != h.station || h.station.holder.Load() != h.dispatcher {
+	w := d.wants[h.next]
+	if w == nil || w.station != h.station || h.station.holder.Load() != h.dispatcher || !now.Before(h.until) {
 		return done, h.dispatcher, nil
 	}
 	delete(d.wants, h.next)
-	d.holds[h.next] = &hold{want: follower, run: append(slices.Clone(h.run), id)}
+	follower = &hold{want: w, until: h.until}
+	d.holds[h.next] = follower
 	done.Next = h.next
 	return done, h.dispatcher, follower
 }
 
 // TakeGrant takes a dispatcher's answer, or its word on a slot that this proxy
-// has. A slot that no request uses is given back.
+// has. A slot that came too late for its request is given back.
 func (d *Dispatch) TakeGrant(host string, g peer.Grant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	w, waits := d.wants[g.ID]
 	h, held := d.holds[g.ID]
 	switch {
+	case waits && g.Given:
+		delete(d.wants, g.ID)
+		until := w.until(g)
+		d.holds[g.ID] = &hold{want: w, next: g.Next, until: until}
+		w.answer <- answer{until: until}
 	case waits:
 		delete(d.wants, g.ID)
-		if g.Given {
-			d.holds[g.ID] = &hold{want: w, next: g.Next}
-		}
-		w.answer <- g
+		w.answer <- answer{err: fault.New(g.Refusal, "wait for slot", "%s", g.Detail)}
 	case held:
 		h.next = g.Next
-	case g.Given:
-		done := peer.Done{ID: g.ID, Next: d.successor(g.ID), Unknown: g.ID <= d.firstID || g.ID > d.lastID}
-		d.options.Peers.Send(host, peer.Frame{Done: &done})
-	}
-}
-
-// successor returns the request that uses the slot of one that has ended, or 0.
-// The lock must be held.
-func (d *Dispatch) successor(id uint64) uint64 {
-	for number, h := range d.holds {
-		if slices.Contains(h.run, id) {
-			return number
+		if until := h.want.until(g); until.After(h.until) {
+			h.until = until
 		}
+	case g.Given:
+		d.options.Peers.Send(host, peer.Frame{Done: &peer.Done{ID: g.ID}})
 	}
-	return 0
 }
--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -45,10 +45,12 @@
 	slots    chan struct{}
 	writer   chan struct{}
 
-	mu       sync.Mutex
-	log      lablog.Log
-	changed  chan struct{}
-	sessions map[*session]struct{}
+	mu      sync.Mutex
+	log     lablog.Log
+	changed chan struct{}
+	// sessions tells of each whether it runs a statement or has a transaction
+	// open.
+	sessions map[*session]bool
 	nextKey  uint32
 	// leader is the session whose host is the dispatcher of the slots.
 	leader     *session
@@ -82,7 +84,7 @@
 		writer:   make(chan struct{}, 1),
 		log:      lablog.New(role, options.Leader),
 		changed:  make(chan struct{}),
-		sessions: make(map[*session]struct{}),
+		sessions: make(map[*session]bool),
 	}
 	stopServe := duty.Run(m.serve)
 	stopFetch := duty.Run(m.fetch)
@@ -105,10 +107,30 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	s := m.log.State()
-	s.Dispatcher, s.Active = m.dispatcher, len(m.slots)
+	s.Dispatcher, s.Active = m.dispatcher, m.busy(func(*session) bool { return true })
 	return s
 }
 
+// busy counts the sessions that are wanted, and run a statement or have a
+// transaction open. The lock must be held.
+func (m *Member) busy(wanted func(*session) bool) int {
+	count := 0
+	for s, is := range m.sessions {
+		if is && wanted(s) {
+			count++
+		}
+	}
+	return count
+}
+
+func (m *Member) setBusy(s *session, is bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if _, known := m.sessions[s]; known {
+		m.sessions[s] = is
+	}
+}
+
 // Peak returns the highest number of statements that held or waited for a slot
 // at the same time.
 func (m *Member) Peak() int {
--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -65,6 +65,9 @@
 		s.member.evict(c.arg(0))
 		s.sendStatus()
 		return nil
+	case "busy":
+		s.sendText(strconv.Itoa(s.member.busyOf(c.arg(0))))
+		return nil
 	}
 	term, err := c.term()
 	if err != nil {
@@ -123,12 +126,22 @@
 	}
 }
 
+// busyOf returns how many sessions of a host are busy.
+func (m *Member) busyOf(host string) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.busy(func(s *session) bool { return s.host == host })
+}
+
 // sendStatus answers one row that describes the member.
-func (s *session) sendStatus() {
+func (s *session) sendStatus() { s.sendText(member.FormatState(s.member.State())) }
+
+// sendText answers one row of one text.
+func (s *session) sendText(text string) {
 	if !s.extendedly {
-		s.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field("state", oidText, 0)}})
+		s.backend.Send(&pgproto3.RowDescription{Fields: []pgproto3.FieldDescription{field("answer", oidText, 0)}})
 	}
-	s.sendRow([]any{member.FormatState(s.member.State())}, nil)
+	s.sendRow([]any{text}, nil)
 	s.complete("SELECT 1")
 }
 
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -33,6 +33,7 @@
 	member   *Member
 	conn     net.Conn
 	backend  *pgproto3.Backend
+	host     string
 	key      uint32
 	secret   []byte
 	readOnly bool
@@ -83,7 +84,9 @@
 		if _, ends := message.(*pgproto3.Terminate); ends {
 			return
 		}
-		if !s.handle(ctx, message) {
+		goesOn := s.handle(ctx, message)
+		m.setBusy(s, s.explicit)
+		if !goesOn {
 			return
 		}
 	}
@@ -105,6 +108,7 @@
 		s.member.cancelSession(start)
 		return false
 	case *pgproto3.StartupMessage:
+		s.host = start.Parameters["application_name"]
 		s.readOnly = strings.Contains(start.Parameters["options"], "default_transaction_read_only=on")
 		duty.Pause(ctx, s.member.options.ConnectDelay)
 		return s.greet()
@@ -137,7 +141,7 @@
 	m.nextKey++
 	s.key, s.secret = m.nextKey, make([]byte, 4)
 	_, _ = rand.Read(s.secret)
-	m.sessions[s] = struct{}{}
+	m.sessions[s] = false
 	return true
 }
 
--- a/internal/labset/help_test.go
+++ b/internal/labset/help_test.go
@@ -53,6 +53,15 @@
 	return lent
 }
 
+// freeSlots returns how many slots the first proxy has to give out.
+func freeSlots(ctx context.Context, set *labset.Set) int {
+	free := 0
+	for _, q := range status(ctx, set).Queues {
+		free += q.Free
+	}
+	return free
+}
+
 // sheetSerial returns the serial of the sheet in force on the first proxy.
 func sheetSerial(ctx context.Context, set *labset.Set) uint64 { return status(ctx, set).Sheet.Serial }
 
--- a/internal/labset/path_test.go
+++ b/internal/labset/path_test.go
@@ -149,6 +149,7 @@
 		})
 		Expect(loadSheet(ctx, set, "stock,read,yes,2,10000", "stock,read,yes,2,500")).To(Succeed())
 		Eventually(func() uint64 { return sheetSerial(ctx, set) }).Should(BeEquivalentTo(2))
+		Eventually(func() int { return freeSlots(ctx, set) }).Should(BeNumerically(">", 0), "a request with so short a deadline needs a slot at hand")
 		idle := connect(ctx, set, 0, stock)
 		const rows = "WITH RECURSIVE n(i) AS (SELECT 1 UNION ALL SELECT i + 1 FROM n WHERE i < 300000) SELECT i, hex(zeroblob(100)) FROM n"
 		frontend := idle.PgConn().Frontend()
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -39,6 +39,9 @@
 	Lead(ctx context.Context, host string) (group.State, error)
 	// Evict ends the connection by which a host is the dispatcher, if it is.
 	Evict(ctx context.Context, host string) (group.State, error)
+	// Busy returns how many connections of a host run a statement or have a
+	// transaction open.
+	Busy(ctx context.Context, host string) (int, error)
 	// Close ends the connection, if one is open.
 	Close()
 }
@@ -100,7 +103,11 @@
 		l.Close()
 		return group.State{}, result.Err
 	}
-	return oneState(result)
+	text, err := oneText(result)
+	if err != nil {
+		return group.State{}, err
+	}
+	return ParseState(text)
 }
 
 // Fence implements Control.
@@ -128,6 +135,19 @@
 	return l.query(ctx, fmt.Sprintf("SELECT poplar_evict('%s')", host))
 }
 
+// Busy implements Control.
+func (l *Link) Busy(ctx context.Context, host string) (int, error) {
+	text, err := l.queryText(ctx, fmt.Sprintf("SELECT poplar_busy('%s')", host))
+	if err != nil {
+		return 0, err
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, &StatusError{Got: strconv.Quote(text), Want: "a number"}
+	}
+	return count, nil
+}
+
 // Close implements Control.
 func (l *Link) Close() {
 	if l.conn != nil {
@@ -139,29 +159,38 @@
 }
 
 func (l *Link) query(ctx context.Context, text string) (group.State, error) {
-	if err := l.connect(ctx); err != nil {
+	answer, err := l.queryText(ctx, text)
+	if err != nil {
 		return group.State{}, err
 	}
+	return ParseState(answer)
+}
+
+// queryText runs a statement whose answer is one text.
+func (l *Link) queryText(ctx context.Context, text string) (string, error) {
+	if err := l.connect(ctx); err != nil {
+		return "", err
+	}
 	results, err := l.conn.Exec(ctx, text).ReadAll()
 	var refusal *pgconn.PgError
 	if errors.As(err, &refusal) {
-		return group.State{}, &RefusedError{Member: l.address, Text: refusal.Message}
+		return "", &RefusedError{Member: l.address, Text: refusal.Message}
 	}
 	if err != nil {
 		l.Close()
-		return group.State{}, err
+		return "", err
 	}
 	if len(results) != 1 {
-		return group.State{}, &StatusError{Got: fmt.Sprintf("%d results", len(results)), Want: "one"}
+		return "", &StatusError{Got: fmt.Sprintf("%d results", len(results)), Want: "one"}
 	}
-	return oneState(results[0])
+	return oneText(results[0])
 }
 
-func oneState(result *pgconn.Result) (group.State, error) {
+func oneText(result *pgconn.Result) (string, error) {
 	if len(result.Rows) != 1 || len(result.Rows[0]) != 1 {
-		return group.State{}, &StatusError{Got: "no row", Want: "one row of one column"}
+		return "", &StatusError{Got: "no row", Want: "one row of one column"}
 	}
-	return ParseState(string(result.Rows[0][0]))
+	return string(result.Rows[0][0]), nil
 }
 
 func (l *Link) connect(ctx context.Context) error {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -26,6 +26,9 @@
 	Password string
 	// Database is the name that members know the database by.
 	Database string
+	// Host is the proxy's own name, by which a member tells the connections of one
+	// proxy from those of others.
+	Host string
 	// Dial opens connections; nil stands for a plain one.
 	Dial DialFunc
 }
@@ -37,6 +40,7 @@
 		return nil, err
 	}
 	c.User, c.Password, c.Database = l.User, l.Password, l.Database
+	c.RuntimeParams["application_name"] = l.Host
 	c.Fallbacks = nil
 	if l.Dial != nil {
 		c.DialFunc = pgconn.DialFunc(l.Dial)
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -192,6 +192,7 @@
 	}
 	deaf := deafBeats*m.options.Beat + m.options.Timeout
 	conn = m.options.Meter.Wrap(conn, meter.Peer, m.regionOf(host))
+	defer m.handler.TakeLoss(host)
 	return m.converse(ctx, conn, host, duty.NewRing[Frame](sendRing), deaf)
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -46,6 +46,8 @@
 	Want      *Want      `msgpack:",omitempty"`
 	Grant     *Grant     `msgpack:",omitempty"`
 	Done      *Done      `msgpack:",omitempty"`
+	Doubt     *Doubt     `msgpack:",omitempty"`
+	Opinion   *Opinion   `msgpack:",omitempty"`
 }
 
 // Want asks a dispatcher for a slot of a member.
@@ -58,10 +60,11 @@
 	Rank     sheet.Rank
 	// Left is the time until the deadline, since clocks differ.
 	Left time.Duration
+	// Waited is how long before the proxy asked first.
+	Waited time.Duration `msgpack:",omitempty"`
 }
 
-// Grant answers a Want. It comes again when Next changes, and when a slot has
-// been in use for long.
+// Grant answers a Want. It comes again when Next changes.
 type Grant struct {
 	ID uint64
 	// Given tells that the slot is given. Otherwise Refusal tells why not.
@@ -70,6 +73,10 @@
 	Detail  string     `msgpack:",omitempty"`
 	// Next is the Want that may use the slot next without asking, or 0.
 	Next uint64 `msgpack:",omitempty"`
+	// Waited is how long before the proxy asked first.
+	Waited time.Duration `msgpack:",omitempty"`
+	// Life is how long the slot may be used to begin work from now on.
+	Life time.Duration `msgpack:",omitempty"`
 }
 
 // Done gives a slot back, or withdraws a Want.
@@ -77,9 +84,17 @@
 	ID uint64
 	// Next is the Want that uses the slot now, or 0.
 	Next uint64 `msgpack:",omitempty"`
-	// Unknown tells that the proxy knows nothing of the slot. Work of a process
-	// that had its name before may still use it.
-	Unknown bool `msgpack:",omitempty"`
+}
+
+// Doubt asks whether a proxy has been silent. The proxy itself is asked too.
+type Doubt struct {
+	Host string
+}
+
+// Opinion answers a Doubt.
+type Opinion struct {
+	Host   string
+	Silent bool
 }
 
 // Challenge asks the opening side for a proof.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -30,6 +30,12 @@
 	TakeGrant(host string, g Grant)
 	// TakeDone takes a slot back.
 	TakeDone(host string, d Done)
+	// TakeDoubt returns whether a proxy has been silent to this one.
+	TakeDoubt(d Doubt) Opinion
+	// TakeOpinion takes another proxy's answer to a doubt.
+	TakeOpinion(host string, o Opinion)
+	// TakeLoss is told that a connection that a peer had opened has ended.
+	TakeLoss(host string)
 	// Cancel cancels the request of a caller of this proxy, if it is one.
 	Cancel(processID uint32, secretKey []byte)
 }
@@ -235,6 +241,11 @@
 		m.handler.TakeGrant(host, *f.Grant)
 	case f.Done != nil:
 		m.handler.TakeDone(host, *f.Done)
+	case f.Doubt != nil:
+		opinion := m.handler.TakeDoubt(*f.Doubt)
+		answers.Offer(Frame{Opinion: &opinion})
+	case f.Opinion != nil:
+		m.handler.TakeOpinion(host, *f.Opinion)
 	case f.Cancel != nil:
 		m.handler.Cancel(f.Cancel.ProcessID, f.Cancel.SecretKey)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -56,6 +56,9 @@
 func (k *keeper) TakeWant(string, peer.Want, func(peer.Grant)) {}
 func (k *keeper) TakeGrant(string, peer.Grant)                 {}
 func (k *keeper) TakeDone(string, peer.Done)                   {}
+func (k *keeper) TakeLoss(string)                              {}
+func (k *keeper) TakeDoubt(d peer.Doubt) peer.Opinion          { return peer.Opinion{Host: d.Host} }
+func (k *keeper) TakeOpinion(string, peer.Opinion)             {}
 
 var _ peer.Handler = (*keeper)(nil)
 
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -111,7 +111,8 @@
 	Applied Position
 	// Dispatcher is the host that gives out the member's slots, or empty.
 	Dispatcher string
-	// Active counts the slots in use.
+	// Active counts the connections that run a statement or have a transaction
+	// open.
 	Active int
 	// Starts lists the latest terms and the position after which the entries of
 	// each began, oldest first.
