--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -194,14 +194,15 @@
 	return bases
 }
 
-// silentBeats is how many heartbeats a dispatcher may miss before it is evicted.
-const silentBeats = 3
+// silence returns how long a peer may go unheard before it counts as silent: a
+// heartbeat missed, and half of a period more.
+func silence(s config.Settings) time.Duration { return s.Timing.BeatMs.Duration() * 3 / 2 }
 
 func newSlots(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, log *event.Log, mesh *peer.Mesh, bytes *meter.Meter) *gate.Dispatch {
 	dispatch, cleanUp := gate.NewDispatch(gate.Options{
 		Host:    s.Host,
 		Queue:   s.Limits.Queue,
-		Silence: silentBeats * s.Timing.BeatMs.Duration(),
+		Silence: silence(s),
 		Timeout: s.Timing.AskTimeoutMs.Duration(),
 		Peers:   mesh,
 		Books:   books,
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -104,7 +104,7 @@
 			AskTimeoutMs: 500,
 			SuspectMs:    1_000,
 			ConfirmMs:    5_000,
-			BeatMs:       500,
+			BeatMs:       1000,
 			WatchMs:      20_000,
 			DrainMs:      20_000,
 			IdleCheckMs:  5_000,
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -49,7 +49,7 @@
 	cell    *duty.Cell[view.View]
 	inputs  *duty.Ring[input]
 	waiting atomic.Int64
-	// awaited is when a request last waited for an answer, in nanoseconds.
+	// awaited is when a request last used the database, in nanoseconds.
 	awaited  atomic.Int64
 	watchers *duty.Cell[[]string]
 	pollers  map[string]poller
@@ -71,8 +71,11 @@
 }
 
 const (
-	inputRing  = 1024
-	stepPeriod = 50 * time.Millisecond
+	inputRing = 1024
+	// stepPeriod is how often the machine steps without an input, and
+	// idleStepPeriod how often for an idle database.
+	stepPeriod     = 50 * time.Millisecond
+	idleStepPeriod = 500 * time.Millisecond
 	// askSpacing is the pause between questions to a member while requests wait
 	// for its answers.
 	askSpacing = time.Millisecond
@@ -97,6 +100,12 @@
 // View returns what is known of the database.
 func (b *Base) View() view.View { return b.cell.Load() }
 
+// Changed returns a channel that closes when the view changes.
+func (b *Base) Changed() <-chan struct{} {
+	_, changed := b.cell.Watch()
+	return changed
+}
+
 // SetMembers replaces the list of members.
 func (b *Base) SetMembers(members []view.Member) { b.inputs.Offer(input{members: members}) }
 
@@ -112,6 +121,15 @@
 	b.inputs.Offer(input{event: elect.Event{Handover: &elect.Handover{Target: target}}})
 }
 
+// Touch notes that a request uses the database, so that its members are asked
+// more often than those of an idle one.
+func (b *Base) Touch() {
+	now := time.Now().UnixNano()
+	if was := b.awaited.Swap(now); now-was > int64(idleAfter) {
+		b.poke()
+	}
+}
+
 // Judge answers another watcher's question, and makes the members be asked, so
 // that the next answer rests on what they say now.
 func (b *Base) Judge(term group.Term) bool {
@@ -128,7 +146,7 @@
 		return v, true
 	}
 	b.waiting.Add(1)
-	b.awaited.Store(time.Now().UnixNano())
+	b.Touch()
 	defer b.waiting.Add(-1)
 	b.poke()
 	for {
@@ -153,9 +171,13 @@
 	b.startPollers(b.View().Members())
 	hosts, hostsChanged := b.watchers.Watch()
 	machine := elect.New(b.options.Rules, b.options.Host, hosts, time.Now())
-	ticker := time.NewTicker(stepPeriod)
+	ticker, wasIdle := time.NewTicker(stepPeriod), false
 	defer ticker.Stop()
 	for {
+		if idle := b.idle(time.Now()); idle != wasIdle {
+			ticker.Reset(stepPeriodOf(idle))
+			wasIdle = idle
+		}
 		var in input
 		select {
 		case in = <-b.inputs.Items():
@@ -176,6 +198,13 @@
 	}
 }
 
+func stepPeriodOf(idle bool) time.Duration {
+	if idle {
+		return idleStepPeriod
+	}
+	return stepPeriod
+}
+
 // take brings the view up to date with an input.
 func (b *Base) take(in input) {
 	v := b.View()
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -80,13 +80,16 @@
 	farPeriods = 4
 	// idlePeriods holds for the primary of an idle database, and
 	// idleReplicaPeriods for its replicas.
-	idlePeriods        = 4
+	idlePeriods        = 8
 	idleReplicaPeriods = 20
-	// idleAfter is how long no request must have waited for an answer before the
-	// database counts as idle.
+	// idleAfter is how long no request must have used the database before it
+	// counts as idle.
 	idleAfter = 10 * time.Second
 )
 
+// idle tells whether no request has used the database for a while.
+func (b *Base) idle(now time.Time) bool { return now.UnixNano()-b.awaited.Load() > int64(idleAfter) }
+
 // pauseFor returns the pause before the next question to a member. While
 // requests wait, only the members that a majority needs are asked often; the
 // rest would cost bytes over the link for nothing.
@@ -100,7 +103,7 @@
 	}
 	primary, found := v.Primary()
 	isPrimary := found && primary.Member == m.Name
-	idle := found && time.Now().UnixNano()-b.awaited.Load() > int64(idleAfter)
+	idle := found && b.idle(time.Now())
 	switch {
 	case idle && isPrimary:
 		return idlePeriods * b.options.Poll
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -218,6 +218,7 @@
 	if s == nil {
 		return chain.Slot{}, fault.New(fault.Undispatched, "wait for slot", "the member is not watched yet")
 	}
+	s.base.Touch()
 	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Deadline}
 	if g := s.gate.Load(); g != nil {
 		return g.Acquire(ctx, work)
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -130,3 +130,20 @@
 		g.Expect(err).To(HaveOccurred())
 	})
 }
+
+func TestASleepingGateWakesForARequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d, list := lone(t)
+		list(5)
+		g.Expect(free(d)).To(Equal(5))
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		began := time.Now()
+		slot, err := d.Acquire(ctx, "stock", view.Member{Name: "m0"}, &chain.Request{Arrived: began, Deadline: began.Add(time.Second)})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(slot.Lapsed(time.Now())).To(BeFalse(), "the member was asked again first")
+		g.Expect(time.Since(began)).To(BeZero(), "and at once")
+		slot.Release()
+	})
+}
--- a/internal/gate/doubt.go
+++ b/internal/gate/doubt.go
@@ -17,6 +17,10 @@
 	opinionLife = 2 * doubtPeriod
 )
 
+// doubtAfter returns how long a proxy goes unheard before it is asked whether it
+// is there, which is more than the period of heartbeats.
+func (d *Dispatch) doubtAfter() time.Duration { return d.options.Silence * 4 / 5 }
+
 // opinion is what another proxy said of a dispatcher.
 type opinion struct {
 	silent bool
@@ -35,7 +39,7 @@
 		return peer.Opinion{Host: doubt.Host}
 	}
 	age := time.Since(d.options.Peers.Heard(doubt.Host))
-	if age > d.options.Silence/2 {
+	if age > d.doubtAfter() {
 		d.options.Peers.Send(doubt.Host, peer.Frame{Doubt: &doubt})
 	}
 	return peer.Opinion{Host: doubt.Host, Silent: age > d.options.Silence}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,8 +33,17 @@
 	// proven is when the last question was asked to which the member answered
 	// that this proxy is its dispatcher.
 	proven atomic.Pointer[time.Time]
+	// wanted is when a slot was asked for last. An asleep gate lends nothing
+	// until the member has been asked again, which wake demands.
+	wanted time.Time
+	asleep bool
+	wake   chan struct{}
 }
 
+// sleepAfter is how long no slot must have been wanted before the member is asked
+// less often.
+const sleepAfter = 10 * time.Second
+
 // Waiter is told what becomes of its work. Its methods must neither wait nor
 // call the gate.
 type Waiter interface {
@@ -55,13 +64,45 @@
 // New returns a gate with so many slots of a member that was asked at a time and
 // named this proxy its dispatcher.
 func New(rules slots.Rules, count int, asked time.Time) *Gate {
-	g := &Gate{lender: slots.NewLender(rules, count), waiters: make(map[uint64]Waiter)}
+	g := &Gate{lender: slots.NewLender(rules, count), waiters: make(map[uint64]Waiter), wanted: time.Now(), wake: make(chan struct{}, 1)}
 	g.Prove(asked)
 	return g
 }
 
 // Prove notes that the member, asked at a time, named this proxy its dispatcher.
-func (g *Gate) Prove(asked time.Time) { g.proven.Store(&asked) }
+func (g *Gate) Prove(asked time.Time) {
+	g.proven.Store(&asked)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asleep = false
+	g.tell(g.lender.Resume(time.Now()))
+}
+
+// await waits until the member is to be asked again: soon, or, if the gate may
+// sleep and no slot has been wanted for a while, once one is. It returns false if
+// the context has ended.
+func (g *Gate) await(ctx context.Context, maySleep bool) bool {
+	pause := pingPeriod
+	if maySleep && g.sleeps(time.Now()) {
+		pause = sleepPeriod
+	}
+	select {
+	case <-time.After(pause):
+	case <-g.wake:
+	case <-ctx.Done():
+	}
+	return ctx.Err() == nil
+}
+
+func (g *Gate) sleeps(now time.Time) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asleep = g.lender.Lent() == 0 && g.lender.Waiting() == 0 && now.Sub(g.wanted) >= sleepAfter
+	if g.asleep {
+		g.lender.Pause()
+	}
+	return g.asleep
+}
 
 // until returns when a slot that is given now lapses.
 func (g *Gate) until() time.Time { return g.proven.Load().Add(slotLife) }
@@ -92,7 +133,18 @@
 		return
 	}
 	g.waiters[w.ID] = waiter
-	g.tell(g.lender.Ask(w, time.Now()))
+	g.wanted = time.Now()
+	if g.asleep {
+		g.rouse()
+	}
+	g.tell(g.lender.Ask(w, g.wanted))
+}
+
+func (g *Gate) rouse() {
+	select {
+	case g.wake <- struct{}{}:
+	default:
+	}
 }
 
 // Done takes a slot back, or work out of the queue.
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -15,14 +15,19 @@
 )
 
 const (
-	// lookPeriod is how often a proxy looks whether it should lead.
-	lookPeriod = 100 * time.Millisecond
+	// lookPeriod is how often at most a proxy looks whether it should lead, and
+	// quietPeriod how often it does while it learns nothing new and hears the
+	// dispatcher.
+	lookPeriod  = 100 * time.Millisecond
+	quietPeriod = time.Second
 	// turnDelay is how much later each further proxy tries to lead, and
 	// isolatedDelay how much later one does that hears too few others.
 	turnDelay     = 100 * time.Millisecond
 	isolatedDelay = time.Second
-	// pingPeriod is how often the leading connection is tried.
-	pingPeriod = 250 * time.Millisecond
+	// pingPeriod is how often the leading connection is tried, and sleepPeriod
+	// how often while no request wants a slot.
+	pingPeriod  = 250 * time.Millisecond
+	sleepPeriod = 5 * time.Second
 	// slotLife is how long after a member named its dispatcher the slots that the
 	// dispatcher gives may be used to begin work.
 	slotLife = 600 * time.Millisecond
@@ -121,7 +126,9 @@
 func (s *station) run(ctx context.Context) error {
 	s.vacant = time.Now()
 	for ctx.Err() == nil {
-		switch Decide(s.look(time.Now())) {
+		changed := s.base.Changed()
+		sight := s.look(time.Now())
+		switch Decide(sight) {
 		case Lead:
 			s.lead(ctx)
 		case Evict:
@@ -129,10 +136,22 @@
 		case Wait:
 		}
 		duty.Pause(ctx, lookPeriod)
+		if sight.Vacant < s.dispatch.doubtAfter() && sight.Dispatcher != "" {
+			awaitEither(ctx, changed, quietPeriod-lookPeriod)
+		}
 	}
 	return nil
 }
 
+// awaitEither waits for a channel to close, a time, or the context's end.
+func awaitEither(ctx context.Context, changed <-chan struct{}, d time.Duration) {
+	select {
+	case <-changed:
+	case <-time.After(d):
+	case <-ctx.Done():
+	}
+}
+
 func (s *station) look(now time.Time) Sight {
 	o := s.dispatch.options
 	sight := Sight{Self: o.Host, Place: -1, Silence: o.Silence}
@@ -179,7 +198,7 @@
 	if last := o.Peers.Heard(dispatcher); last.After(s.vacant) {
 		s.vacant = last
 	}
-	if now.Sub(s.vacant) < o.Silence/2 {
+	if now.Sub(s.vacant) < s.dispatch.doubtAfter() {
 		return false
 	}
 	others, judges := s.judges(dispatcher)
@@ -255,8 +274,7 @@
 // before are added to the gate as the member is found to use fewer.
 func (s *station) keep(ctx context.Context, control member.Control, g *Gate, taken int) {
 	for {
-		duty.Pause(ctx, pingPeriod)
-		if ctx.Err() != nil {
+		if !g.await(ctx, taken == 0) {
 			return
 		}
 		asked := time.Now()
--- a/internal/gate/world_test.go
+++ b/internal/gate/world_test.go
@@ -30,7 +30,8 @@
 	hostCount    = 9
 	slotCount    = 5
 	oneWay       = 500 * time.Microsecond
-	beatPeriod   = 500 * time.Millisecond
+	beatPeriod   = time.Second
+	silence      = beatPeriod * 3 / 2
 	askTimeout   = 500 * time.Millisecond
 	serviceTime  = 20 * time.Millisecond
 	workDeadline = 10 * time.Second
@@ -123,7 +124,7 @@
 	}, "stock", []view.Member{w.only})
 	listed := book.Database{Name: "stock", Slots: slotCount, Members: []view.Member{w.only}}
 	dispatch, stopDispatch := gate.NewDispatch(gate.Options{
-		Host: name, Queue: 1000, Silence: 3 * beatPeriod, Timeout: askTimeout, Peers: h, Books: w,
+		Host: name, Queue: 1000, Silence: silence, Timeout: askTimeout, Peers: h, Books: w,
 		Bases: listing{duty.NewCell([]ctrl.Watched{{Database: listed, Base: base}})}, Dial: dial, Log: w.log,
 	})
 	h.dispatch = dispatch
--- a/internal/labset/cost_test.go
+++ b/internal/labset/cost_test.go
@@ -16,6 +16,8 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/app"
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/labset"
 )
 
@@ -97,7 +99,7 @@
 	b.Helper()
 	settings := labset.SettingsOf("observed", storeAddress)
 	settings.Seeds = []string{seed}
-	if err := labset.Multiply(context.Background(), storeAddress, databases); err != nil {
+	if err := prepare(&settings, databases); err != nil {
 		b.Fatal(err)
 	}
 	proxy, cleanUp, err := app.New(settings, io.Discard)
@@ -115,6 +117,21 @@
 	b.ReportMetric(inUse()/(1<<20), "heap-MB")
 }
 
+// prepare lists the databases, and the observed proxy among the hosts.
+func prepare(settings *config.Settings, databases int) error {
+	if err := labset.Multiply(context.Background(), settings.StoreAddress, databases); err != nil {
+		return err
+	}
+	address, err := labset.FreeAddress()
+	if err != nil {
+		return err
+	}
+	settings.PeerAddress = address
+	return labset.List(context.Background(), settings.StoreAddress, book.Host{
+		Name: settings.Host, DataCentre: settings.DataCentre, Region: settings.Region, PeerAddress: address,
+	})
+}
+
 func cpuTime() time.Duration {
 	var usage syscall.Rusage
 	_ = syscall.Getrusage(syscall.RUSAGE_SELF, &usage)
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -283,27 +283,42 @@
 // Multiply lists the set's database under so many further names, all with the
 // same members, in the store at the given address.
 func Multiply(ctx context.Context, storeAddress string, databases int) error {
+	return edit(ctx, storeAddress, book.Databases, func(doc *book.DatabasesDoc) {
+		doc.Serial++
+		for i := 1; i < databases; i++ {
+			further := doc.Databases[0]
+			further.Name = fmt.Sprintf("%s-%d", Database, i)
+			doc.Databases = append(doc.Databases, further)
+		}
+	})
+}
+
+// List lists one more host, in the store at the given address.
+func List(ctx context.Context, storeAddress string, host book.Host) error {
+	return edit(ctx, storeAddress, book.Hosts, func(doc *book.HostsDoc) {
+		doc.Serial++
+		doc.Hosts = append(doc.Hosts, host)
+	})
+}
+
+// edit changes a document in a store.
+func edit[T any](ctx context.Context, storeAddress string, kind book.Kind, change func(*T)) error {
 	client, cleanUp := store.New(storeAddress, time.Second)
 	defer cleanUp()
-	object, err := client.Get(ctx, string(book.Databases))
+	object, err := client.Get(ctx, string(kind))
 	if err != nil {
 		return err
 	}
-	var doc book.DatabasesDoc
+	var doc T
 	if err := json.Unmarshal(object.Value, &doc); err != nil {
 		return err
 	}
-	doc.Serial++
-	for i := 1; i < databases; i++ {
-		further := doc.Databases[0]
-		further.Name = fmt.Sprintf("%s-%d", Database, i)
-		doc.Databases = append(doc.Databases, further)
-	}
+	change(&doc)
 	raw, err := json.Marshal(doc)
 	if err != nil {
 		return err
 	}
-	_, err = client.Put(ctx, string(book.Databases), raw, object.Version)
+	_, err = client.Put(ctx, string(kind), raw, object.Version)
 	return err
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -115,9 +115,32 @@
 	Proof []byte
 }
 
-// Beat is a heartbeat.
+// Beat is a heartbeat. It tells the serials of the documents that the peer holds,
+// and goes as an array, since it is sent often.
 type Beat struct {
-	Serials map[book.Kind]uint64
+	_msgpack  struct{} `msgpack:",as_array"` //nolint:unused // read by the codec
+	Sheet     uint64
+	Databases uint64
+	Hosts     uint64
+}
+
+// BeatOf returns the heartbeat of a proxy that holds a book.
+func BeatOf(b book.Book) Beat {
+	return Beat{Sheet: b.Serial(book.Sheet), Databases: b.Serial(book.Databases), Hosts: b.Serial(book.Hosts)}
+}
+
+// Serial returns the serial of the document of a kind, or 0.
+func (b Beat) Serial(kind book.Kind) uint64 {
+	switch kind {
+	case book.Sheet:
+		return b.Sheet
+	case book.Databases:
+		return b.Databases
+	case book.Hosts:
+		return b.Hosts
+	default:
+		return 0
+	}
 }
 
 // Ask asks whether the primary of a term has been silent.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -62,7 +62,7 @@
 	nonceBytes = 32
 	// deafBeats is how many heartbeats may fail to come before a connection is
 	// given up.
-	deafBeats = 5
+	deafBeats = 3
 )
 
 // Mesh holds the connections to peers.
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -125,7 +125,7 @@
 func FuzzDecode(f *testing.F) {
 	doc := hostsDoc()
 	for _, frame := range []peer.Frame{
-		{Beat: &peer.Beat{Serials: map[book.Kind]uint64{book.Sheet: 3}}},
+		{Beat: &peer.Beat{Sheet: 3}},
 		{Doc: &doc},
 		{Vote: &peer.VoteFrame{Database: "stock", Vote: elect.Vote{From: "one", Term: 2}}},
 	} {
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -81,7 +81,10 @@
 	}
 }
 
-func (m *Mesh) heartbeat() Frame { return Frame{Beat: &Beat{Serials: m.handler.Book().Serials()}} }
+func (m *Mesh) heartbeat() Frame {
+	beat := BeatOf(m.handler.Book())
+	return Frame{Beat: &beat}
+}
 
 // seeds returns the addresses to ask while no list of hosts is known.
 func (m *Mesh) seeds() []string {
@@ -95,7 +98,7 @@
 func (m *Mesh) answerBeat(b Beat, answers *duty.Ring[Frame]) {
 	held := m.handler.Book()
 	for _, kind := range book.Kinds() {
-		if doc, found := held.Doc(kind); found && doc.Serial > b.Serials[kind] {
+		if doc, found := held.Doc(kind); found && doc.Serial > b.Serial(kind) {
 			answers.Offer(Frame{Doc: &doc})
 		}
 	}
--- a/internal/slots/lender.go
+++ b/internal/slots/lender.go
@@ -44,6 +44,8 @@
 	queue *Queue
 	free  int
 	loans map[uint64]*loan
+	// paused tells that no slot may be given.
+	paused bool
 }
 
 // loan is a slot in use.
@@ -130,6 +132,15 @@
 // Settle takes out the work that is late by now.
 func (l *Lender) Settle(now time.Time) Change { return l.settle(now) }
 
+// Pause makes all work wait until Resume.
+func (l *Lender) Pause() { l.paused = true }
+
+// Resume gives slots again.
+func (l *Lender) Resume(now time.Time) Change {
+	l.paused = false
+	return l.settle(now)
+}
+
 // Add gives the lender more slots.
 func (l *Lender) Add(count int, now time.Time) Change {
 	l.free += count
@@ -171,7 +182,7 @@
 // hand gives free slots to waiting work, and takes out what is late.
 func (l *Lender) hand(now time.Time, c *Change) {
 	c.Late = append(c.Late, l.queue.Late(now)...)
-	for l.free > 0 {
+	for l.free > 0 && !l.paused {
 		w, found := l.queue.Next()
 		if !found {
 			break
