A statement on a connection that went silent no longer waits for its deadline

Cause: only idle connections were tried before reuse. A statement in flight on a connection that something between the ends had lost track of held its caller and its slot until the deadline and 2 s more, 12 s for the examples' kinds. Weighed: the deadline alone, the system's keepalive, a shorter read timeout; see DECISIONS.md 6. Change: the pool asks the member, over another connection, which of the connections run a statement whose answer has been awaited for 0.5 s. One that runs none at three looks, 0.25 s apart, is closed and the pool replaced. Members answer one more question, poplar_running.

--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -354,6 +354,8 @@
 
 func (c *fakeControl) Busy(context.Context, string) (int, error) { return 0, nil }
 
+func (c *fakeControl) Running(context.Context, []uint32) ([]uint32, error) { return nil, nil }
+
 func (c *fakeControl) call(ctx context.Context, operation func(*lablog.Log) error) (group.State, error) {
 	x, p, m := c.proxy.world, c.proxy, c.target
 	if err := x.travel(ctx, p.name, p.region, m.name, m.region); err != nil {
--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -48,9 +48,8 @@
 	mu      sync.Mutex
 	log     lablog.Log
 	changed chan struct{}
-	// sessions tells of each whether it runs a statement or has a transaction
-	// open.
-	sessions map[*session]bool
+	// sessions tells what each is at.
+	sessions map[*session]activity
 	nextKey  uint32
 	// leader is the session whose host is the dispatcher of the slots.
 	leader     *session
@@ -84,7 +83,7 @@
 		writer:   make(chan struct{}, 1),
 		log:      lablog.New(role, options.Leader),
 		changed:  make(chan struct{}),
-		sessions: make(map[*session]bool),
+		sessions: make(map[*session]activity),
 	}
 	stopServe := duty.Run(m.serve)
 	stopFetch := duty.Run(m.fetch)
@@ -115,19 +114,29 @@
 // transaction open. The lock must be held.
 func (m *Member) busy(wanted func(*session) bool) int {
 	count := 0
-	for s, is := range m.sessions {
-		if is && wanted(s) {
+	for s, at := range m.sessions {
+		if at != idle && wanted(s) {
 			count++
 		}
 	}
 	return count
 }
 
-func (m *Member) setBusy(s *session, is bool) {
+// activity is what a session is at.
+type activity uint8
+
+const (
+	idle activity = iota
+	// open means in a transaction, between two statements.
+	open
+	running
+)
+
+func (m *Member) setActivity(s *session, at activity) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	if _, known := m.sessions[s]; known {
-		m.sessions[s] = is
+		m.sessions[s] = at
 	}
 }
 
--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"regexp"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -68,6 +69,9 @@
 	case "busy":
 		s.sendText(strconv.Itoa(s.member.busyOf(c.arg(0))))
 		return nil
+	case "running":
+		s.sendText(s.member.runningOf(strings.Fields(c.arg(0))))
+		return nil
 	}
 	term, err := c.term()
 	if err != nil {
@@ -133,6 +137,19 @@
 	return m.busy(func(s *session) bool { return s.host == host })
 }
 
+// runningOf returns which of some sessions, by their process IDs, run a statement.
+func (m *Member) runningOf(ids []string) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var found []string
+	for s, at := range m.sessions {
+		if id := strconv.FormatUint(uint64(s.key), 10); at == running && slices.Contains(ids, id) {
+			found = append(found, id)
+		}
+	}
+	return strings.Join(found, " ")
+}
+
 // sendStatus answers one row that describes the member.
 func (s *session) sendStatus() { s.sendText(member.FormatState(s.member.State())) }
 
--- a/internal/labdb/run.go
+++ b/internal/labdb/run.go
@@ -219,7 +219,7 @@
 	defer cancel()
 	s.setCancel(cancel)
 	defer s.setCancel(nil)
-	s.member.setBusy(s, true)
+	s.member.setActivity(s, running)
 	if err := s.open(ctx); err != nil {
 		return err
 	}
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -85,13 +85,21 @@
 			return
 		}
 		goesOn := s.handle(ctx, message)
-		m.setBusy(s, s.explicit)
+		m.setActivity(s, s.rest())
 		if !goesOn {
 			return
 		}
 	}
 }
 
+// rest returns what the session is at between two messages.
+func (s *session) rest() activity {
+	if s.explicit {
+		return open
+	}
+	return idle
+}
+
 // start answers the start-up messages and tells whether a session follows.
 func (s *session) start(ctx context.Context) bool {
 	message, err := s.backend.ReceiveStartupMessage()
@@ -141,7 +149,7 @@
 	m.nextKey++
 	s.key, s.secret = m.nextKey, make([]byte, 4)
 	_, _ = rand.Read(s.secret)
-	m.sessions[s] = false
+	m.sessions[s] = idle
 	return true
 }
 
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -42,6 +42,9 @@
 	// Busy returns how many connections of a host run a statement or have a
 	// transaction open.
 	Busy(ctx context.Context, host string) (int, error)
+	// Running returns which of some connections, by their process IDs, run a
+	// statement.
+	Running(ctx context.Context, processIDs []uint32) ([]uint32, error)
 	// Close ends the connection, if one is open.
 	Close()
 }
@@ -148,6 +151,27 @@
 	return count, nil
 }
 
+// Running implements Control.
+func (l *Link) Running(ctx context.Context, processIDs []uint32) ([]uint32, error) {
+	var words []string
+	for _, id := range processIDs {
+		words = append(words, strconv.FormatUint(uint64(id), 10))
+	}
+	text, err := l.queryText(ctx, fmt.Sprintf("SELECT poplar_running('%s')", strings.Join(words, " ")))
+	if err != nil {
+		return nil, err
+	}
+	var running []uint32
+	for _, word := range strings.Fields(text) {
+		id, err := strconv.ParseUint(word, 10, 32)
+		if err != nil {
+			return nil, &StatusError{Got: strconv.Quote(word), Want: "a process ID"}
+		}
+		running = append(running, uint32(id))
+	}
+	return running, nil
+}
+
 // Close implements Control.
 func (l *Link) Close() {
 	if l.conn != nil {
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -75,6 +75,10 @@
 	era     int
 	idled   time.Time
 	doubt   bool
+	reading *reading
+	// quiet counts the looks in a row at which the member ran nothing for the
+	// connection while an answer was awaited. The pool's watch owns it.
+	quiet int
 }
 
 // Dial opens a connection. The context bounds the whole of it.
@@ -86,6 +90,16 @@
 	if mode == ReadOnly {
 		config.RuntimeParams["options"] = "-c default_transaction_read_only=on"
 	}
+	r := &reading{}
+	dial := config.DialFunc
+	config.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		r.Conn = conn
+		return r, nil
+	}
 	raw, err := pgconn.ConnectConfig(ctx, config)
 	if err != nil {
 		return nil, err
@@ -106,6 +120,7 @@
 		Prepared:  make(map[string]struct{}),
 		address:   address,
 		mode:      mode,
+		reading:   r,
 	}, nil
 }
 
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
@@ -15,6 +16,8 @@
 	login   Login
 	check   time.Duration
 	permits chan struct{}
+	// lending wakes the watch.
+	lending chan struct{}
 
 	mu     sync.Mutex
 	idle   map[Mode][]*Conn
@@ -29,8 +32,12 @@
 // NewPool returns a pool of at most limit connections, and its clean-up
 // function. A connection that idled for longer than check is tried before reuse.
 func NewPool(address string, login Login, limit int, check time.Duration) (*Pool, func()) {
-	p := &Pool{address: address, login: login, check: check, permits: make(chan struct{}, limit), idle: make(map[Mode][]*Conn), lent: make(map[*Conn]struct{})}
-	return p, p.close
+	p := &Pool{address: address, login: login, check: check, permits: make(chan struct{}, limit), lending: make(chan struct{}, 1), idle: make(map[Mode][]*Conn), lent: make(map[*Conn]struct{})}
+	stop := duty.Run(p.watch)
+	return p, func() {
+		stop()
+		p.close()
+	}
 }
 
 // Get lends a connection. It waits for one until the context ends. No part of
@@ -49,6 +56,10 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.lent[c] = struct{}{}
+	select {
+	case p.lending <- struct{}{}:
+	default:
+	}
 	return c, nil
 }
 
--- a/internal/member/pool_test.go
+++ b/internal/member/pool_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/jackc/pgx/v5/pgproto3"
 	. "github.com/onsi/gomega"
 
 	"poplarrouter.example/poplarrouter/internal/labdb"
@@ -27,7 +28,7 @@
 	lost   []*atomic.Bool
 }
 
-func newPath(t *testing.T, target string) *path {
+func newPath(t testing.TB, target string) *path {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -86,10 +87,14 @@
 	}
 }
 
-const poolSize = 3
+const (
+	poolSize = 3
+	// connectDelay is that of Magnolia's members.
+	connectDelay = 25 * time.Millisecond
+)
 
-func newPool(t *testing.T, check time.Duration) (*member.Pool, *path) {
-	m, cleanUp, err := labdb.New(labdb.Options{Address: "127.0.0.1:0"})
+func newPool(t testing.TB, check time.Duration) (*member.Pool, *path) {
+	m, cleanUp, err := labdb.New(labdb.Options{Address: "127.0.0.1:0", ConnectDelay: connectDelay})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -180,3 +185,77 @@
 		}
 	})
 }
+
+// ask sends a statement and waits for the end of its answer.
+func ask(c *member.Conn, text string) error {
+	c.Send(&pgproto3.Query{String: text})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		message, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		if _, ends := message.(*pgproto3.ReadyForQuery); ends {
+			return nil
+		}
+	}
+}
+
+// longDeadline is far beyond the time after which a silent connection is found.
+const longDeadline = time.Minute
+
+func TestAnAnswerIsNotAwaitedOnASilentConnection(t *testing.T) {
+	g := NewWithT(t)
+	pool, p := newPool(t, time.Minute)
+	fill(g, pool, member.ReadOnly)
+	c, err := pool.Get(context.Background(), member.ReadOnly)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.SetDeadline(time.Now().Add(longDeadline))).To(Succeed())
+	p.loseTrack()
+	g.Expect(ask(c, "SELECT 1")).To(MatchError(net.ErrClosed), "closed long before the deadline")
+	pool.Put(c, false)
+	fill(g, pool, member.ReadOnly)
+}
+
+func TestLongWorkIsAwaited(t *testing.T) {
+	g := NewWithT(t)
+	pool, _ := newPool(t, time.Minute)
+	c, err := pool.Get(context.Background(), member.ReadOnly)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(ask(c, "SELECT pg_sleep(2)")).To(Succeed())
+}
+
+// BenchmarkSilentPool measures, in real time, how long it takes until every
+// connection of a pool has answered again after all went silent with statements
+// on them.
+func BenchmarkSilentPool(b *testing.B) {
+	for b.Loop() {
+		pool, p := newPool(b, time.Minute)
+		fill(NewWithT(b), pool, member.ReadOnly)
+		p.loseTrack()
+		began := time.Now()
+		var running sync.WaitGroup
+		for range poolSize {
+			running.Go(func() { untilAnswered(b, pool) })
+		}
+		running.Wait()
+		b.ReportMetric(time.Since(began).Seconds(), "all-answered-s")
+	}
+}
+
+func untilAnswered(b *testing.B, pool *member.Pool) {
+	for {
+		c, err := pool.Get(context.Background(), member.ReadOnly)
+		if err != nil {
+			b.Error(err)
+			return
+		}
+		err = ask(c, "SELECT 1")
+		pool.Put(c, err == nil)
+		if err == nil {
+			return
+		}
+	}
+}
