A dispatcher that was evicted while it waited gives nothing

Cause, found on reading: the new dispatcher asks its member once more after its wait, but did not look whether it was still named; the link opens a new connection by itself, so that the answer comes even after an eviction. It would have given slots for up to 250 ms beside the next one. Test seen red without the look.

--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -45,6 +45,8 @@
 	member.Control
 	mu    sync.Mutex
 	named string
+	// evicts makes the member name nobody after it was asked to name a host.
+	evicts bool
 }
 
 func (d *dispatched) Close() {}
@@ -59,14 +61,22 @@
 	d.mu.Lock()
 	d.named = host
 	d.mu.Unlock()
-	return d.Ask(ctx)
+	state, err := d.Ask(ctx)
+	if d.evicts {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.named = ""
+	}
+	return state, err
 }
 
 // lone starts the dispatch of one host, which watches nothing yet.
-func lone(t *testing.T) (*gate.Dispatch, func(slots int)) {
+func lone(t *testing.T) (*gate.Dispatch, func(slots int)) { return loneBefore(t, false) }
+
+func loneBefore(t *testing.T, evicts bool) (*gate.Dispatch, func(slots int)) {
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
-	dial := func(view.Member) member.Control { return &dispatched{} }
+	dial := func(view.Member) member.Control { return &dispatched{evicts: evicts} }
 	only := view.Member{Name: "m0", Address: "a"}
 	base, stopBase := ctrl.NewBase(ctrl.BaseOptions{
 		Host: self, Rules: elect.RulesFor(time.Second), Poll: time.Second, Timeout: time.Second, Log: log, Dial: dial,
@@ -147,3 +157,14 @@
 		slot.Release()
 	})
 }
+
+func TestADispatcherThatWasEvictedWhileItWaitedGivesNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, list := loneBefore(t, true)
+		list(5)
+		for range 100 {
+			time.Sleep(20 * time.Millisecond)
+			NewWithT(t).Expect(d.Queues()).To(BeEmpty())
+		}
+	})
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -7,6 +7,11 @@
 // takes part, a dispatcher that is cut off from its member cannot give out its
 // slots, and each member has a dispatcher in its own region.
 //
+// A slot that is given may be used to begin work for a short time after the
+// member last named the dispatcher, and a new dispatcher waits that time out. What
+// became of older slots is told by the member, which counts the connections of a
+// proxy that are busy. So the number of slots holds whatever fails.
+//
 // A Gate holds one member's queue, a station is a proxy's part for one member,
 // and a Dispatch holds all stations.
 package gate
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -267,6 +267,9 @@
 	duty.Pause(ctx, firstWait)
 	asked = time.Now()
 	state, err := s.ask(ctx, control.Ask)
+	if err == nil && state.Dispatcher != s.dispatch.options.Host {
+		err = errReplaced(s.dispatch.options.Host)
+	}
 	return state.Active, asked, err
 }
 
