The failover world notes requests as the proxy does

The questions went on at the idle pace until the write had given up. Change: the world's writers touch the base where the dispatch does. The check and its bounds are unchanged.

--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -552,6 +552,8 @@
 	if !found {
 		return
 	}
+	// The dispatch of slots notes each request so.
+	p.base.Touch()
 	target, _ := v.Writable()
 	p.world.mu.Lock()
 	p.world.lastWork[target.Name] = time.Now()
