A read does not wait for the slots of a member that does not answer

Change: such a request is told that the member is unreachable, not run; a read goes to the next member, a write waits for the next primary. Test seen red without it.

--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -200,7 +200,8 @@
 }
 
 // Acquire implements chain.Slots. A request whose dispatcher changes while it
-// waits asks the next one.
+// waits asks the next one. It does not wait for the dispatcher of a member that
+// does not answer, since another member may serve it.
 func (d *Dispatch) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (chain.Slot, error) {
 	for {
 		s := d.station(database, m.Name)
@@ -208,6 +209,9 @@
 		if err == nil || fault.Of(err).Kind != fault.Undispatched || ctx.Err() != nil {
 			return slot, err
 		}
+		if s != nil && s.base.View().Silent(m.Name) {
+			return chain.Slot{}, fault.New(fault.Unreachable, "wait for slot", "member %s does not answer", s.key())
+		}
 		if !s.awaitChange(ctx) {
 			return chain.Slot{}, err
 		}
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -20,6 +20,7 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -35,6 +36,8 @@
 func (alone) Send(string, peer.Frame) bool { return false }
 func (alone) Heard(string) time.Time       { return time.Time{} }
 
+func (alone) AskWatchers(string, group.Term, []string) {}
+
 // listing is what the proxy watches.
 type listing struct{ *duty.Cell[[]ctrl.Watched] }
 
@@ -47,44 +50,77 @@
 	named string
 	// evicts makes the member name nobody after it was asked to name a host.
 	evicts bool
+	ended  bool
 }
 
-func (d *dispatched) Close() {}
+// sleepsAtMost is longer than a sleeping gate waits until it asks its member.
+const sleepsAtMost = 10 * time.Second
+
+// end makes the member answer no more.
+func (d *dispatched) end() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ended = true
+}
+
+// connection is the member as one connection reaches it.
+type connection struct {
+	*dispatched
+	leads bool
+}
+
+// Close ends the dispatch if this is the leading connection.
+func (c *connection) Close() {
+	if !c.leads {
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.named = ""
+}
 
 func (d *dispatched) Ask(context.Context) (group.State, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if d.ended {
+		return group.State{}, &member.StatusError{Got: "nothing", Want: "a state"}
+	}
 	return group.State{Role: group.Primary, Term: 1, Dispatcher: d.named}, nil
 }
 
-func (d *dispatched) Lead(ctx context.Context, host string) (group.State, error) {
-	d.mu.Lock()
-	d.named = host
-	d.mu.Unlock()
-	state, err := d.Ask(ctx)
-	if d.evicts {
-		d.mu.Lock()
-		defer d.mu.Unlock()
-		d.named = ""
+func (c *connection) Lead(ctx context.Context, host string) (group.State, error) {
+	c.leads = true
+	c.mu.Lock()
+	c.named = host
+	c.mu.Unlock()
+	state, err := c.Ask(ctx)
+	if c.evicts {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.named = ""
 	}
 	return state, err
 }
 
 // lone starts the dispatch of one host, which watches nothing yet.
-func lone(t *testing.T) (*gate.Dispatch, func(slots int)) { return loneBefore(t, false) }
+func lone(t *testing.T) (*gate.Dispatch, func(slots int)) {
+	d, list, _ := loneOf(t, &dispatched{})
+	return d, list
+}
 
-func loneBefore(t *testing.T, evicts bool) (*gate.Dispatch, func(slots int)) {
+func loneOf(t *testing.T, target *dispatched) (*gate.Dispatch, func(slots int), *dispatched) {
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
-	dial := func(view.Member) member.Control { return &dispatched{evicts: evicts} }
+	peers := alone{}
+	dial := func(view.Member) member.Control { return &connection{dispatched: target} }
 	only := view.Member{Name: "m0", Address: "a"}
 	base, stopBase := ctrl.NewBase(ctrl.BaseOptions{
-		Host: self, Rules: elect.RulesFor(time.Second), Poll: time.Second, Timeout: time.Second, Log: log, Dial: dial,
+		Host: self, Rules: elect.RulesFor(time.Second), Poll: time.Second, Timeout: time.Second, Watchers: peers, Log: log, Dial: dial,
 	}, "stock", []view.Member{only})
 	t.Cleanup(stopBase)
 	watched := listing{duty.NewCell[[]ctrl.Watched](nil)}
 	d, cleanUp := gate.NewDispatch(gate.Options{
-		Host: self, Queue: 10, Silence: time.Second, Timeout: time.Second, Peers: alone{}, Books: alone{}, Bases: watched, Dial: dial, Log: log,
+		Host: self, Queue: 10, Silence: time.Second, Timeout: time.Second, Peers: peers, Books: peers, Bases: watched, Dial: dial, Log: log,
 	})
 	t.Cleanup(cleanUp)
 	return d, func(slots int) {
@@ -93,7 +129,7 @@
 			return
 		}
 		watched.Store([]ctrl.Watched{{Database: book.Database{Name: "stock", Slots: slots, Members: []view.Member{only}}, Base: base}})
-	}
+	}, target
 }
 
 // free returns how many slots the host gives out, or -1 if it does not.
@@ -160,7 +196,7 @@
 
 func TestADispatcherThatWasEvictedWhileItWaitedGivesNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		d, list := loneBefore(t, true)
+		d, list, _ := loneOf(t, &dispatched{evicts: true})
 		list(5)
 		for range 100 {
 			time.Sleep(20 * time.Millisecond)
@@ -168,3 +204,18 @@
 		}
 	})
 }
+
+func TestARequestDoesNotWaitForASilentMember(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		d, list, target := loneOf(t, &dispatched{})
+		list(5)
+		g.Expect(free(d)).To(Equal(5))
+		target.end()
+		time.Sleep(sleepsAtMost)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
+		defer cancel()
+		_, err := d.Acquire(ctx, "stock", view.Member{Name: "m0"}, &chain.Request{Arrived: time.Now(), Deadline: time.Now().Add(time.Hour)})
+		g.Expect(fault.Of(err).Kind).To(Equal(fault.Unreachable), "long before the deadline")
+	})
+}
