Read once more: an ended request is told nothing; one state, one lock, one place less

Found on reading the whole change: - Two ways ended a request, and only one looked again under the lock whether it still should: a request dropped from the queue just as it was granted could keep a slot that went to another as well. One function (endIf) serves both, and grants, names and refusals check that the request still stands. Looked at and left: the two forwarding links of the tests (member, trial) behave differently and live in test files; the other pairs listed are imports and boilerplate.

--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -179,6 +179,15 @@
 	if held.Serial(book.Hosts) > 0 {
 		b.options.Hosts(held.Hosts())
 	}
+	for _, stop := range b.update(held) {
+		stop()
+	}
+}
+
+// update brings the watches and the pools in line with the documents, and
+// returns what stops those that are no longer listed. Stopping waits for their
+// duties, which requests must not.
+func (b *Bases) update(held book.Book) (stops []func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	hosts := held.LiveHosts()
@@ -196,18 +205,18 @@
 	}
 	for name, s := range b.bases {
 		if _, listed := held.Database(name); !listed {
-			s.stop()
+			stops = append(stops, s.stop)
 			delete(b.bases, name)
 		}
 	}
-	b.closePools(watched)
 	b.watched.Store(watched)
+	return append(stops, b.dropPools(watched)...)
 }
 
-// closePools closes the pools of members that are no longer listed. The
-// connections that they have lent are closed when they are given back. The lock
-// must be held.
-func (b *Bases) closePools(watched []Watched) {
+// dropPools takes out the pools of members that are no longer listed, and returns
+// what closes them. The connections that they have lent are closed when they are
+// given back. The lock must be held.
+func (b *Bases) dropPools(watched []Watched) (stops []func()) {
 	listed := make(map[poolKey]bool)
 	for _, w := range watched {
 		for _, m := range w.Members {
@@ -216,10 +225,11 @@
 	}
 	for key, owned := range b.pools {
 		if !listed[key] {
-			owned.stop()
+			stops = append(stops, owned.stop)
 			delete(b.pools, key)
 		}
 	}
+	return stops
 }
 
 func (b *Bases) close() {
--- a/internal/gate/doubt.go
+++ b/internal/gate/doubt.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -52,7 +53,9 @@
 	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.opinions[opinionKey{from: host, of: o.Host}] = opinion{silent: o.Silent, at: time.Now()}
+	now := time.Now()
+	maps.DeleteFunc(d.opinions, func(_ opinionKey, o opinion) bool { return now.Sub(o.at) > opinionLife })
+	d.opinions[opinionKey{from: host, of: o.Host}] = opinion{silent: o.Silent, at: now}
 }
 
 // judges returns the proxies that judge a dispatcher of a member, and whether
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -38,10 +38,9 @@
 	// proven is when the last question was asked to which the member answered
 	// that this proxy is its dispatcher.
 	proven atomic.Pointer[time.Time]
-	// wanted is when a slot was asked for last. An asleep gate lends nothing
-	// until the member has been asked again, which wake demands.
+	// wanted is when a slot was asked for last. A gate that sleeps has paused its
+	// lender until the member has been asked again, which wake demands.
 	wanted time.Time
-	asleep bool
 	wake   chan struct{}
 }
 
@@ -79,7 +78,6 @@
 	g.proven.Store(&asked)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.asleep = false
 	g.tell(g.lender.Resume(time.Now()))
 }
 
@@ -102,11 +100,11 @@
 func (g *Gate) sleeps(now time.Time) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.asleep = g.lender.Lent() == 0 && g.lender.Waiting() == 0 && now.Sub(g.wanted) >= sleepAfter
-	if g.asleep {
-		g.lender.Pause()
+	if g.lender.Lent() > 0 || g.lender.Waiting() > 0 || now.Sub(g.wanted) < sleepAfter {
+		return false
 	}
-	return g.asleep
+	g.lender.Pause()
+	return true
 }
 
 // until returns when a slot that is given now lapses.
@@ -139,7 +137,7 @@
 	}
 	g.waiters[w.ID] = waiter
 	g.wanted = time.Now()
-	if g.asleep {
+	if g.lender.Paused() {
 		g.rouse()
 	}
 	g.tell(g.lender.Ask(w, g.wanted))
--- a/internal/gate/reclaim.go
+++ b/internal/gate/reclaim.go
@@ -24,7 +24,7 @@
 			return
 		}
 		for _, r := range old[:max(len(old)-busy, 0)] {
-			d.endOld(r, told)
+			d.endIf(r, func(r *remote) bool { return r.told.Before(told) })
 		}
 	}
 }
@@ -35,11 +35,11 @@
 	return control.Busy(ctx, host)
 }
 
-// endOld frees a slot of which its proxy was told before a time, and not again
-// meanwhile.
-func (d *Dispatch) endOld(r *remote, told time.Time) {
+// endIf takes a request out of the queue, or its slot back, if a condition still
+// holds. No grant is sent to its proxy any more, even if one is being made.
+func (d *Dispatch) endIf(r *remote, still func(*remote) bool) {
 	d.mu.Lock()
-	ends := d.remotes[r.key()] == r && r.told.Before(told)
+	ends := r.wanted() && still(r)
 	if ends {
 		delete(d.remotes, r.key())
 	}
@@ -64,10 +64,9 @@
 
 // dropWaiting takes requests out of the queues that have no slot.
 func (d *Dispatch) dropWaiting(wanted func(*remote) bool) {
-	for _, r := range d.remotesOf(func(r *remote) bool { return !r.given && wanted(r) }) {
-		if d.takeRemote(r.key()) != nil {
-			r.gate.Done(r.work.ID)
-		}
+	waits := func(r *remote) bool { return !r.given }
+	for _, r := range d.remotesOf(func(r *remote) bool { return waits(r) && wanted(r) }) {
+		d.endIf(r, waits)
 	}
 }
 
--- a/internal/gate/remote.go
+++ b/internal/gate/remote.go
@@ -31,18 +31,27 @@
 
 func (r *remote) key() remoteKey { return remoteKey{host: r.work.Host, number: r.work.Number} }
 
+// wanted tells whether the request has not been ended meanwhile. The dispatch's
+// lock must be held.
+func (r *remote) wanted() bool { return r.dispatch.remotes[r.key()] == r }
+
 // Granted implements Waiter.
 func (r *remote) Granted() {
 	r.dispatch.mu.Lock()
 	defer r.dispatch.mu.Unlock()
-	r.given = true
-	r.answer(r.grant(time.Now()))
+	if r.wanted() {
+		r.given = true
+		r.answer(r.grant(time.Now()))
+	}
 }
 
 // Refused implements Waiter.
 func (r *remote) Refused(err error) {
 	r.dispatch.mu.Lock()
 	defer r.dispatch.mu.Unlock()
+	if !r.wanted() {
+		return
+	}
 	delete(r.dispatch.remotes, r.key())
 	f := fault.Of(err)
 	r.answer(peer.Grant{ID: r.work.Number, Refusal: f.Kind, Detail: f.Detail})
@@ -52,8 +61,10 @@
 func (r *remote) MayFollow(number uint64) {
 	r.dispatch.mu.Lock()
 	defer r.dispatch.mu.Unlock()
-	r.next = number
-	r.answer(r.grant(time.Now()))
+	if r.wanted() {
+		r.next = number
+		r.answer(r.grant(time.Now()))
+	}
 }
 
 // grant returns the answer that the slot is given. The dispatch's lock must be
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -55,7 +55,7 @@
 	Self       string
 	Dispatcher string
 	// Place is the proxy's place among the candidates that are not silent, or
-	// -1 if it is none.
+	// -1 if it is none or none is looked for.
 	Place int
 	// Vacant is how long there has been no dispatcher, or how long it has been
 	// silent.
@@ -165,7 +165,6 @@
 		return sight
 	}
 	sight.Dispatcher = r.State.Dispatcher
-	sight.Place = pick.Place(s.key(), o.Host, s.dispatch.candidates(s.member.Region, sight.Dispatcher))
 	switch sight.Dispatcher {
 	case "":
 		sight.Isolated = s.isolated(now)
@@ -174,6 +173,9 @@
 	default:
 		sight.Condemned = s.judge(sight.Dispatcher, now)
 	}
+	if sight.Dispatcher == "" || sight.Condemned {
+		sight.Place = pick.Place(s.key(), o.Host, s.dispatch.candidates(s.member.Region, sight.Dispatcher))
+	}
 	sight.Vacant = now.Sub(s.vacant)
 	return sight
 }
--- a/internal/gate/want.go
+++ b/internal/gate/want.go
@@ -79,10 +79,10 @@
 	return fault.New(fault.Undispatched, "wait for slot", "dispatcher %s was replaced", dispatcher)
 }
 
-// until returns when a slot lapses by the dispatcher's word. The two clocks are
+// lapses returns when a slot lapses by the dispatcher's word. The two clocks are
 // not compared: both count from the request, which this proxy sent before the
 // dispatcher received it.
-func (w *want) until(g peer.Grant) time.Time { return w.asked.Add(g.Waited + g.Life) }
+func (w *want) lapses(g peer.Grant) time.Time { return w.asked.Add(g.Waited + g.Life) }
 
 func (d *Dispatch) addWant(w *want) uint64 {
 	d.mu.Lock()
@@ -139,7 +139,7 @@
 	switch {
 	case waits && g.Given:
 		delete(d.wants, g.ID)
-		until := w.until(g)
+		until := w.lapses(g)
 		d.holds[g.ID] = &hold{want: w, next: g.Next, until: until}
 		w.answer <- answer{until: until}
 	case waits:
@@ -147,7 +147,7 @@
 		w.answer <- answer{err: fault.New(g.Refusal, "wait for slot", "%s", g.Detail)}
 	case held:
 		h.next = g.Next
-		if until := h.want.until(g); until.After(h.until) {
+		if until := h.lapses(g); until.After(h.until) {
 			h.until = until
 		}
 	case g.Given:
--- a/internal/slots/lender.go
+++ b/internal/slots/lender.go
@@ -110,7 +110,7 @@
 func (l *Lender) Done(id uint64, now time.Time) Change {
 	l.queue.Remove(id)
 	l.release(id, now)
-	return l.settle(now)
+	return l.Settle(now)
 }
 
 // Followed notes that work runs on the slot of other work of its host that has
@@ -126,25 +126,25 @@
 		l.free--
 		l.loans[next.ID] = &loan{work: next, since: now, run: run}
 	}
-	return l.settle(now)
+	return l.Settle(now)
 }
 
-// Settle takes out the work that is late by now.
-func (l *Lender) Settle(now time.Time) Change { return l.settle(now) }
-
 // Pause makes all work wait until Resume.
 func (l *Lender) Pause() { l.paused = true }
 
+// Paused tells whether all work waits until Resume.
+func (l *Lender) Paused() bool { return l.paused }
+
 // Resume gives slots again.
 func (l *Lender) Resume(now time.Time) Change {
 	l.paused = false
-	return l.settle(now)
+	return l.Settle(now)
 }
 
 // Add gives the lender more slots.
 func (l *Lender) Add(count int, now time.Time) Change {
 	l.free += count
-	return l.settle(now)
+	return l.Settle(now)
 }
 
 // Close takes out all waiting work and returns it.
@@ -159,7 +159,8 @@
 	}
 }
 
-func (l *Lender) settle(now time.Time) Change {
+// Settle takes out the work that is late by now, and gives slots that are free.
+func (l *Lender) Settle(now time.Time) Change {
 	var c Change
 	l.hand(now, &c)
 	l.name(&c)
