A slot that is followed is not given back by a word that crosses it

A proxy ended its hold under the lock and sent "first ended, second follows" after it. A word of the dispatcher on the first that came in between was answered with a plain "first ended", which went out before it: the dispatcher lent the slot out while the second began on it.

Change: ends are sent under the lock, and the word on an ended request is answered with the request that runs on the slot by now, also two or more ends later.

Found beside it: a request that still waits may be told as ended and followed, if the frame before was lost. It stayed in the queue without a waiter, and its grant ended the process. Followed takes it out of the queue. Its test panicked before.

Tried and dropped: not to answer such words.

--- a/internal/gate/remote_test.go
+++ b/internal/gate/remote_test.go
@@ -31,3 +31,29 @@
 	g.Expect(told).To(Equal(3), "one that still waits is told")
 	g.Expect(d.remotes).To(BeEmpty())
 }
+
+// The word that a request got another one's slot may be lost, and the word that
+// yet another follows it may come all the same.
+func TestARequestIsFollowedThatWasGivenNoSlot(t *testing.T) {
+	g := NewWithT(t)
+	d := &Dispatch{remotes: make(map[remoteKey]*remote)}
+	owner := New(slots.DefaultRules(3), 1, time.Now())
+	given := make(map[uint64]bool)
+	ask := func(number uint64) {
+		r := &remote{dispatch: d, gate: owner, answer: func(a peer.Grant) { given[a.ID] = given[a.ID] || a.Given }}
+		r.work = slots.Work{ID: owner.Reserve(), Host: "host-2", Number: number, Deadline: time.Now().Add(time.Minute)}
+		d.addRemote(r)
+		owner.Ask(r.work, r)
+	}
+	const first, second, third, fourth = 1, 2, 3, 4
+	ask(first)
+	ask(second)
+	ask(third)
+	d.TakeDone("host-2", peer.Done{ID: second, Next: third})
+	ask(fourth)
+	d.TakeDone("host-2", peer.Done{ID: first})
+	d.TakeDone("host-2", peer.Done{ID: third})
+	free, lent, waiting := owner.Counts()
+	g.Expect([]int{free, lent, waiting}).To(Equal([]int{0, 1, 0}))
+	g.Expect(given).To(HaveKeyWithValue(uint64(fourth), true))
+}
--- a/internal/gate/want.go
+++ b/internal/gate/want.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/chain"
@@ -31,6 +32,8 @@
 	*want
 	// next is the request that may use the slot next without asking, or 0.
 	next uint64
+	// past are the ended requests that had the slot before, since it was given.
+	past []uint64
 	// until is when the slot lapses.
 	until time.Time
 }
@@ -94,7 +97,12 @@
 
 // giveBack ends a request: it withdraws it, or gives its slot back, or uses the
 // slot for the request that may follow.
+//
+// The lock is held until the frame is sent, so that the dispatcher hears of all
+// ends in the order in which they happened.
 func (d *Dispatch) giveBack(id uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	done, dispatcher, follower := d.endWant(id, time.Now())
 	if dispatcher == "" {
 		return
@@ -105,9 +113,10 @@
 	}
 }
 
+// endWant notes the end of a request, and returns what its dispatcher must be
+// told, if there is one, and the request that follows on its slot, if any. The
+// lock must be held.
 func (d *Dispatch) endWant(id uint64, now time.Time) (done peer.Done, dispatcher string, follower *hold) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
 	done.ID = id
 	if w, waits := d.wants[id]; waits {
 		delete(d.wants, id)
@@ -123,14 +132,15 @@
 		return done, h.dispatcher, nil
 	}
 	delete(d.wants, h.next)
-	follower = &hold{want: w, until: h.until}
+	follower = &hold{want: w, until: h.until, past: append(slices.Clip(h.past), id)}
 	d.holds[h.next] = follower
 	done.Next = h.next
 	return done, h.dispatcher, follower
 }
 
 // TakeGrant takes a dispatcher's answer, or its word on a slot that this proxy
-// has. A slot that came too late for its request is given back.
+// has. If the request has ended, the dispatcher is told so again, since its word
+// may have been lost.
 func (d *Dispatch) TakeGrant(host string, g peer.Grant) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -151,6 +161,17 @@
 			h.until = until
 		}
 	case g.Given:
-		d.options.Peers.Send(host, peer.Frame{Done: &peer.Done{ID: g.ID}})
+		d.options.Peers.Send(host, peer.Frame{Done: &peer.Done{ID: g.ID, Next: d.heir(g.ID)}})
+	}
+}
+
+// heir returns the request that runs by now on the slot of one that has ended, or
+// 0 if none does. The lock must be held.
+func (d *Dispatch) heir(ended uint64) uint64 {
+	for id, h := range d.holds {
+		if slices.Contains(h.past, ended) {
+			return id
+		}
 	}
+	return 0
 }
--- a/internal/slots/lender.go
+++ b/internal/slots/lender.go
@@ -114,12 +114,14 @@
 }
 
 // Followed notes that work runs on the slot of other work of its host that has
-// ended, whatever has become of either meanwhile.
+// ended, whatever has become of either meanwhile. The ended work may even still
+// wait, if the word that it followed before got lost.
 func (l *Lender) Followed(id uint64, next Work, now time.Time) Change {
 	run := 1
 	if ended := l.loans[id]; ended != nil {
 		run += ended.run
 	}
+	l.queue.Remove(id)
 	l.release(id, now)
 	if l.loans[next.ID] == nil {
 		l.queue.Take(next.ID)
