The stand-in's file is opened once before others open it

Cause: BenchmarkProxyOverhead failed now and then with "callers failed". The benchmark tells the first caller's error now: "database is locked". The stand-in's engine closed all but two connections, and the library answers so while the file's mode is set or its last connection closes; the time-out for locks does not cover that. Ruled out: the proxy.

Change: one connection is opened first, and 64 are kept.

--- a/internal/labdb/engine.go
+++ b/internal/labdb/engine.go
@@ -22,6 +22,10 @@
 
 const pragmas = "?_pragma=journal_mode(WAL)&_pragma=synchronous(OFF)&_pragma=busy_timeout(10000)"
 
+// keptConnections is how many connections to the file stay open. While the last
+// one closes, the library answers a new one that the file is locked.
+const keptConnections = 64
+
 func newEngine() (*engine, func(), error) {
 	dir, err := os.MkdirTemp("", "poplarlab")
 	if err != nil {
@@ -31,7 +35,14 @@
 	if err != nil {
 		return nil, nil, err
 	}
+	db.SetMaxIdleConns(keptConnections)
 	e := &engine{db: db, dir: dir}
+	// The first connection changes the mode of the file, which must not happen
+	// while others are opened.
+	if err := db.Ping(); err != nil {
+		e.close()
+		return nil, nil, err
+	}
 	return e, e.close, nil
 }
 
--- a/internal/labset/bench_test.go
+++ b/internal/labset/bench_test.go
@@ -6,7 +6,6 @@
 	"runtime"
 	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
@@ -54,23 +53,23 @@
 	}
 	var mu sync.Mutex
 	var times []time.Duration
-	var failed atomic.Int64
+	var failed []error
 	var running sync.WaitGroup
 	ends := time.Now().Add(benchTime)
 	for range callers {
 		running.Go(func() {
 			own, err := driveOne(config, ends)
-			if err != nil {
-				failed.Add(1)
-			}
 			mu.Lock()
 			defer mu.Unlock()
+			if err != nil {
+				failed = append(failed, err)
+			}
 			times = append(times, own...)
 		})
 	}
 	running.Wait()
-	if failed.Load() > 0 {
-		b.Fatal(failed.Load(), "callers failed")
+	if len(failed) > 0 {
+		b.Fatal(len(failed), "callers failed, the first with:", failed[0])
 	}
 	slices.Sort(times)
 	return float64(len(times)) / benchTime.Seconds(), times
