A waiting read wakes the questions to members itself

Cause: a barrier read was given to the stepping duty, which woke the pollers: a switch of goroutines for each read, and a queue of them under load.

Change: who waits wakes the pollers. The input without content is gone.

--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -53,8 +53,10 @@
 	awaited  atomic.Int64
 	watchers *duty.Cell[[]string]
 	pollers  map[string]poller
-	primary  string
-	orders   duty.Group
+	// wakes make the pollers ask at once, by the names of their members.
+	wakes   *duty.Cell[map[string]chan<- struct{}]
+	primary string
+	orders  duty.Group
 	// leaving is when each leaving member was first seen to be.
 	leaving map[string]time.Time
 	// seenClaim is the attempt of the last claim that was read from the store.
@@ -91,6 +93,7 @@
 		inputs:   duty.NewRing[input](inputRing),
 		watchers: duty.NewCell[[]string](nil),
 		pollers:  make(map[string]poller),
+		wakes:    duty.NewCell[map[string]chan<- struct{}](nil),
 		leaving:  make(map[string]time.Time),
 	}
 	b.awaited.Store(time.Now().UnixNano())
@@ -161,9 +164,6 @@
 	}
 }
 
-// poke makes the stepping duty wake the pollers.
-func (b *Base) poke() { b.inputs.Offer(input{}) }
-
 // run is the duty that owns the view and the machine.
 func (b *Base) run(ctx context.Context) error {
 	defer b.orders.Wait()
@@ -222,7 +222,6 @@
 		v = v.WithMembers(in.members)
 		b.startPollers(in.members)
 	default:
-		b.pokeAll()
 		return
 	}
 	b.cell.Store(v)
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -16,14 +16,17 @@
 	stop    func()
 }
 
-func (b *Base) pokeAll() {
+// poke makes the members be asked at once that must be asked to learn more. It
+// is called by whoever waits: a round by way of the stepping duty would cost each
+// read a switch of goroutines.
+func (b *Base) poke() {
 	v := b.View()
-	for name, p := range b.pollers {
+	for name, wake := range b.wakes.Load() {
 		if !v.Needed(name, b.options.Region) {
 			continue
 		}
 		select {
-		case p.poke <- struct{}{}:
+		case wake <- struct{}{}:
 		default:
 		}
 	}
@@ -50,6 +53,15 @@
 		p.stop = duty.Run(func(ctx context.Context) error { return b.pollMember(ctx, m, p.poke) })
 		b.pollers[m.Name] = p
 	}
+	b.wakes.Store(b.wakesOf())
+}
+
+func (b *Base) wakesOf() map[string]chan<- struct{} {
+	wakes := make(map[string]chan<- struct{}, len(b.pollers))
+	for name, p := range b.pollers {
+		wakes[name] = p.poke
+	}
+	return wakes
 }
 
 func (b *Base) stopPollers() {
