Election machines of running proxies are recorded and replayed

The inputs of a machine reached it through an unnamed struct that nothing else could read.

Change: package trace holds the input, the record and the replay; the controller and the replay apply inputs to a view by the same method.

--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -98,9 +98,13 @@
 	_, _ = fmt.Fprintln(t)
 }
 
-func printStatus(out io.Writer, s app.Status) error {
+func newTable(out io.Writer) *tabwriter.Writer {
 	const padding = 2
-	t := table{tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)}
+	return tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+}
+
+func printStatus(out io.Writer, s app.Status) error {
+	t := table{newTable(out)}
 	t.row("HOST", "DATA CENTRE", "REGION", "CALLERS", "DRAINING")
 	t.row(s.Host, s.DataCentre, s.Region, s.Callers, s.Draining)
 	t.row()
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -183,6 +183,7 @@
 			Store:    st,
 			Dial:     func(m view.Member) member.Control { return member.NewLink(m.Address, login(m, meter.Control)) },
 			Log:      log,
+			Trace:    s.TraceElections,
 		},
 		Books:       books,
 		Login:       func(m view.Member) member.Login { return login(m, meter.Work) },
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -50,6 +50,8 @@
 	Limits Limits
 	// Timing sets the proxy's periods and timeouts.
 	Timing Timing
+	// TraceElections tells that each step of each election machine is logged.
+	TraceElections bool
 }
 
 // Limits bound what one proxy holds.
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -13,6 +13,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/store"
+	"poplarrouter.example/poplarrouter/internal/trace"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -38,6 +39,8 @@
 	Store    store.Store
 	Dial     Dialer
 	Log      *event.Log
+	// Trace tells that each step of the election machine is logged.
+	Trace bool
 	// Replaced is told of a primary that gave way to another, unless it is nil.
 	Replaced func(database string, was view.Member)
 }
@@ -47,7 +50,7 @@
 	options BaseOptions
 	name    string
 	cell    *duty.Cell[view.View]
-	inputs  *duty.Ring[input]
+	inputs  *duty.Ring[trace.Input]
 	waiting atomic.Int64
 	// awaited is when a request last used the database, in nanoseconds.
 	awaited  atomic.Int64
@@ -63,15 +66,6 @@
 	seenClaim atomic.Pointer[string]
 }
 
-// input is what the stepping duty is told: a change of the view, an event for
-// the machine, or both.
-type input struct {
-	report  *view.Report
-	silence string
-	members []view.Member
-	event   elect.Event
-}
-
 const (
 	inputRing = 1024
 	// stepPeriod is how often the machine steps without an input, and
@@ -90,7 +84,7 @@
 		options:  options,
 		name:     name,
 		cell:     duty.NewCell(view.New(name, members)),
-		inputs:   duty.NewRing[input](inputRing),
+		inputs:   duty.NewRing[trace.Input](inputRing),
 		watchers: duty.NewCell[[]string](nil),
 		pollers:  make(map[string]poller),
 		wakes:    duty.NewCell[map[string]chan<- struct{}](nil),
@@ -110,18 +104,18 @@
 }
 
 // SetMembers replaces the list of members.
-func (b *Base) SetMembers(members []view.Member) { b.inputs.Offer(input{members: members}) }
+func (b *Base) SetMembers(members []view.Member) { b.inputs.Offer(trace.Input{Members: members}) }
 
 // SetWatchers replaces the hosts that watch the database, in the order of their
 // claim on it.
 func (b *Base) SetWatchers(hosts []string) { b.watchers.Store(hosts) }
 
 // Vote takes another watcher's answer.
-func (b *Base) Vote(v elect.Vote) { b.inputs.Offer(input{event: elect.Event{Vote: &v}}) }
+func (b *Base) Vote(v elect.Vote) { b.inputs.Offer(trace.Input{Event: elect.Event{Vote: &v}}) }
 
 // HandOver begins a planned change of the primary.
 func (b *Base) HandOver(target string) {
-	b.inputs.Offer(input{event: elect.Event{Handover: &elect.Handover{Target: target}}})
+	b.inputs.Offer(trace.Input{Event: elect.Event{Handover: &elect.Handover{Target: target}}})
 }
 
 // Touch notes that a request uses the database, so that its members are asked
@@ -170,7 +164,9 @@
 	defer b.stopPollers()
 	b.startPollers(b.View().Members())
 	hosts, hostsChanged := b.watchers.Watch()
-	machine := elect.New(b.options.Rules, b.options.Host, hosts, time.Now())
+	began := time.Now()
+	machine := elect.New(b.options.Rules, b.options.Host, hosts, began)
+	tracer := b.newTracer(began, hosts)
 	ticker, wasIdle := time.NewTicker(stepPeriod), false
 	defer ticker.Stop()
 	for {
@@ -178,20 +174,23 @@
 			ticker.Reset(stepPeriodOf(idle))
 			wasIdle = idle
 		}
-		var in input
+		var in trace.Input
 		select {
 		case in = <-b.inputs.Items():
 			b.take(in)
 		case <-hostsChanged:
 			hosts, hostsChanged = b.watchers.Watch()
 			machine = machine.WithWatchers(hosts)
+			in.Watchers = hosts
 		case <-ticker.C:
 			b.closeLeaving(time.Now())
 		case <-ctx.Done():
 			return nil
 		}
 		var actions []elect.Action
-		machine, actions = machine.Step(time.Now(), b.View(), in.event)
+		now := time.Now()
+		machine, actions = machine.Step(now, b.View(), in.Event)
+		tracer.note(trace.Record{At: now, Input: in, Actions: actions})
 		for _, a := range actions {
 			b.carryOut(ctx, a, hosts)
 		}
@@ -206,24 +205,19 @@
 }
 
 // take brings the view up to date with an input.
-func (b *Base) take(in input) {
+func (b *Base) take(in trace.Input) {
 	v := b.View()
 	switch {
-	case in.report != nil:
-		b.noteReach(v, in.report.Member)
-		v = v.WithReport(*in.report)
-	case in.silence != "":
-		if !v.Silent(in.silence) {
-			b.options.Log.Emit(event.MemberLost, event.Fields{"Database": b.name, "Member": in.silence})
-			b.alert(v, in.silence)
-		}
-		v = v.WithSilence(in.silence)
-	case in.members != nil:
-		v = v.WithMembers(in.members)
-		b.startPollers(in.members)
+	case in.Report != nil:
+		b.noteReach(v, in.Report.Member)
+	case in.Silence != "":
+		b.noteSilence(v, in.Silence)
+	case in.Members != nil:
+		b.startPollers(in.Members)
 	default:
 		return
 	}
+	v = in.Apply(v)
 	b.cell.Store(v)
 	b.notePrimary(v)
 }
@@ -257,6 +251,13 @@
 	}
 }
 
+func (b *Base) noteSilence(v view.View, name string) {
+	if !v.Silent(name) {
+		b.options.Log.Emit(event.MemberLost, event.Fields{"Database": b.name, "Member": name})
+		b.alert(v, name)
+	}
+}
+
 func (b *Base) noteReach(v view.View, name string) {
 	if v.Silent(name) {
 		b.options.Log.Emit(event.MemberReached, event.Fields{"Database": b.name, "Member": name})
--- a/internal/ctrl/order.go
+++ b/internal/ctrl/order.go
@@ -12,6 +12,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/store"
+	"poplarrouter.example/poplarrouter/internal/trace"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -59,7 +60,7 @@
 	if err != nil {
 		b.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "claim", "Database": b.name, "Cause": err.Error()})
 	}
-	b.inputs.Offer(input{event: elect.Event{Claimed: &claimed}})
+	b.inputs.Offer(trace.Input{Event: elect.Event{Claimed: &claimed}})
 	return err
 }
 
@@ -136,9 +137,9 @@
 			"Database": b.name, "Member": o.Member, "Term": o.Claim.Term, "Refused": answer.Refused, "Failed": answer.Failed,
 		})
 		if err == nil {
-			b.inputs.Offer(input{report: &view.Report{Member: o.Member, Asked: asked, Heard: time.Now(), State: state}})
+			b.inputs.Offer(trace.Input{Report: &view.Report{Member: o.Member, Asked: asked, Heard: time.Now(), State: state}})
 		}
-		b.inputs.Offer(input{event: elect.Event{Answer: &answer}})
+		b.inputs.Offer(trace.Input{Event: elect.Event{Answer: &answer}})
 		return err
 	})
 }
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -6,6 +6,7 @@
 
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/trace"
 	"poplarrouter.example/poplarrouter/internal/view"
 )
 
@@ -138,8 +139,8 @@
 	}
 	if err != nil {
 		control.Close()
-		b.inputs.Offer(input{silence: m.Name})
+		b.inputs.Offer(trace.Input{Silence: m.Name})
 		return
 	}
-	b.inputs.Offer(input{report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
+	b.inputs.Offer(trace.Input{Report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
 }
--- a/internal/elect/event.go
+++ b/internal/elect/event.go
@@ -1,6 +1,9 @@
 package elect
 
 import (
+	"fmt"
+	"strings"
+
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -25,13 +28,13 @@
 // passing of time.
 type Event struct {
 	// Vote is another watcher's answer.
-	Vote *Vote
+	Vote *Vote `json:",omitempty"`
 	// Claimed is the end of a claim.
-	Claimed *Claimed
+	Claimed *Claimed `json:",omitempty"`
 	// Answer is a member's answer to an order.
-	Answer *Answer
+	Answer *Answer `json:",omitempty"`
 	// Handover is an operator's order to change the primary.
-	Handover *Handover
+	Handover *Handover `json:",omitempty"`
 }
 
 // Handover names the member that is to become the primary.
@@ -62,17 +65,46 @@
 // Action is what the shell must do. Exactly one field is set.
 type Action struct {
 	// AskWatchers asks the other watchers about the primary of a term.
-	AskWatchers *AskWatchers
+	AskWatchers *AskWatchers `json:",omitempty"`
 	// ClaimTerm writes a claim of a term after the given one to the store.
-	ClaimTerm *ClaimTerm
+	ClaimTerm *ClaimTerm `json:",omitempty"`
 	// Fence asks a member to promise a term.
-	Fence *Order
+	Fence *Order `json:",omitempty"`
 	// Promote makes a member the primary of a term.
-	Promote *Order
+	Promote *Order `json:",omitempty"`
 	// Follow makes a member a replica of the primary.
-	Follow *Follow
+	Follow *Follow `json:",omitempty"`
 	// Note is something to log.
-	Note *Note
+	Note *Note `json:",omitempty"`
+}
+
+// String returns the action in short form, such as "fence member-2 7".
+func (a Action) String() string {
+	switch {
+	case a.AskWatchers != nil:
+		return fmt.Sprint("ask ", a.AskWatchers.Term)
+	case a.ClaimTerm != nil:
+		return fmt.Sprint("claim after ", a.ClaimTerm.After)
+	case a.Fence != nil:
+		return fmt.Sprint("fence ", a.Fence.Member, " ", a.Fence.Claim.Term)
+	case a.Promote != nil:
+		return fmt.Sprint("promote ", a.Promote.Member, " ", a.Promote.Claim.Term)
+	case a.Follow != nil:
+		return fmt.Sprint("follow ", a.Follow.Member, " ", a.Follow.Leader.Name, " ", a.Follow.Term)
+	case a.Note != nil:
+		return a.Note.Kind.String()
+	default:
+		return "nothing"
+	}
+}
+
+// Brief returns actions in short form, in their order.
+func Brief(actions []Action) string {
+	words := make([]string, 0, len(actions))
+	for _, a := range actions {
+		words = append(words, a.String())
+	}
+	return strings.Join(words, ", ")
 }
 
 // AskWatchers names the term whose primary is suspected.
@@ -108,6 +140,11 @@
 	AttemptFailed
 )
 
+// String returns the kind in one word.
+func (k NoteKind) String() string {
+	return [...]string{"suspected", "ended", "won", "lost", "promoted", "failed"}[k]
+}
+
 // Note is a step of a promotion, for the log.
 type Note struct {
 	Kind   NoteKind
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"fmt"
 	"os"
 	"path/filepath"
 	"strconv"
@@ -75,11 +74,7 @@
 	event := r.event(now, words[1], words[2:])
 	var actions []elect.Action
 	r.machine, actions = r.machine.Step(now, r.view, event)
-	var out []string
-	for _, a := range actions {
-		out = append(out, brief(a))
-	}
-	return strings.Join(out, ", ")
+	return elect.Brief(actions)
 }
 
 func (r *replay) event(now time.Time, verb string, args []string) elect.Event {
@@ -118,20 +113,3 @@
 	}
 	return elect.Event{}
 }
-
-func brief(a elect.Action) string {
-	switch {
-	case a.AskWatchers != nil:
-		return fmt.Sprint("ask ", a.AskWatchers.Term)
-	case a.ClaimTerm != nil:
-		return fmt.Sprint("claim after ", a.ClaimTerm.After)
-	case a.Fence != nil:
-		return fmt.Sprint("fence ", a.Fence.Member, " ", a.Fence.Claim.Term)
-	case a.Promote != nil:
-		return fmt.Sprint("promote ", a.Promote.Member, " ", a.Promote.Claim.Term)
-	case a.Follow != nil:
-		return fmt.Sprint("follow ", a.Follow.Member, " ", a.Follow.Leader.Name, " ", a.Follow.Term)
-	default:
-		return [...]string{"suspected", "ended", "won", "lost", "promoted", "failed"}[a.Note.Kind]
-	}
-}
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -41,6 +41,7 @@
 	DispatchBegun    Event = 508
 	DispatchEnded    Event = 509
 	DispatchEvicted  Event = 510
+	ElectionStep     Event = 511
 	SheetInForce     Event = 601
 	SheetRefused     Event = 602
 	DatabasesChanged Event = 603
@@ -85,6 +86,7 @@
 	DispatchBegun:    {"dispatch-begun", logrus.InfoLevel},
 	DispatchEnded:    {"dispatch-ended", logrus.WarnLevel},
 	DispatchEvicted:  {"dispatch-evicted", logrus.WarnLevel},
+	ElectionStep:     {"election-step", logrus.InfoLevel},
 	SheetInForce:     {"sheet-in-force", logrus.InfoLevel},
 	SheetRefused:     {"sheet-refused", logrus.ErrorLevel},
 	DatabasesChanged: {"databases-changed", logrus.InfoLevel},
--- /dev/null
+++ b/internal/trace/trace.go
@@ -0,0 +1,191 @@
+// Package trace records what the election machine of a running proxy was told,
+// and replays it.
+//
+// A proxy whose settings ask for it logs every step of every machine as event
+// 511. The first record of a database tells how its machine began; each further
+// one holds the time, the one input that the machine and its view were given, and
+// the actions that the machine answered. A machine has no clock and does no I/O,
+// so that the same records give the same actions, on any host and at any time.
+package trace
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/view"
+)
+
+// Input is what changes a view, or an event for the machine, or both. An input
+// with no field set stands for the passing of time.
+type Input struct {
+	// Report is a member's answer.
+	Report *view.Report `json:",omitempty"`
+	// Silence names a member that left a question unanswered.
+	Silence string `json:",omitempty"`
+	// Members is a new list of members.
+	Members []view.Member `json:",omitempty"`
+	// Watchers is a new list of watchers, in the order of their claim.
+	Watchers []string    `json:",omitempty"`
+	Event    elect.Event `json:",omitzero"`
+}
+
+// Apply returns the view after the input.
+func (i Input) Apply(v view.View) view.View {
+	if i.Report != nil {
+		v = v.WithReport(*i.Report)
+	}
+	if i.Silence != "" {
+		v = v.WithSilence(i.Silence)
+	}
+	if i.Members != nil {
+		v = v.WithMembers(i.Members)
+	}
+	return v
+}
+
+// Begin tells how a machine began.
+type Begin struct {
+	Host     string
+	Rules    elect.Rules
+	Members  []view.Member
+	Watchers []string
+}
+
+// Record is one step of a machine.
+type Record struct {
+	// Step counts the records of one machine from 1.
+	Step uint64
+	At   time.Time
+	// Begin is set in the first record, which has no input.
+	Begin   *Begin         `json:",omitempty"`
+	Input   Input          `json:",omitzero"`
+	Actions []elect.Action `json:",omitempty"`
+}
+
+// GapError reports records that do not follow one another.
+type GapError struct {
+	Got  uint64
+	Want uint64
+}
+
+// Error implements error.
+func (e *GapError) Error() string {
+	return fmt.Sprintf("replay trace: got step %d, want step %d", e.Got, e.Want)
+}
+
+// MismatchError reports a step at which the replayed machine acts otherwise than
+// the recorded one did.
+type MismatchError struct {
+	Step uint64
+	Got  string
+	Want string
+}
+
+// Error implements error.
+func (e *MismatchError) Error() string {
+	return fmt.Sprintf("replay trace: step %d: got %s, want %s", e.Step, e.Got, e.Want)
+}
+
+// LineError reports a line of a log that cannot be read.
+type LineError struct {
+	Line  int
+	Cause error
+}
+
+// Error implements error.
+func (e *LineError) Error() string { return fmt.Sprintf("read trace: line %d: %s", e.Line, e.Cause) }
+
+// Unwrap returns the cause.
+func (e *LineError) Unwrap() error { return e.Cause }
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Read returns the records of a database from a proxy's log. Lines of other
+// events are passed over. It returns a *LineError for a line that is no object.
+func Read(log io.Reader, database string) ([]Record, error) {
+	var records []Record
+	lines := bufio.NewScanner(log)
+	lines.Buffer(nil, maxLine)
+	n := 0
+	for lines.Scan() {
+		n++
+		var line struct {
+			Event    event.Event
+			Database string
+			Record   Record
+		}
+		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+			return nil, &LineError{Line: n, Cause: err}
+		}
+		if line.Event == event.ElectionStep && line.Database == database {
+			records = append(records, line.Record)
+		}
+	}
+	if err := lines.Err(); err != nil {
+		return nil, &LineError{Line: n + 1, Cause: err}
+	}
+	return records, nil
+}
+
+// Replay drives a machine by the records, and calls each with every record whose
+// actions the machine repeated. It returns a *GapError if a record is missing,
+// such as one that found no room in the log's ring, and a *MismatchError at the
+// first step at which the machine acts otherwise.
+func Replay(records []Record, each func(Record)) error {
+	if len(records) == 0 || records[0].Begin == nil {
+		return &GapError{Got: 0, Want: 1}
+	}
+	begin := records[0].Begin
+	machine := elect.New(begin.Rules, begin.Host, begin.Watchers, records[0].At)
+	seen := view.New("", begin.Members)
+	for i, r := range records {
+		if want := uint64(i) + 1; r.Step != want {
+			return &GapError{Got: r.Step, Want: want}
+		}
+		if r.Begin != nil {
+			continue
+		}
+		seen = r.Input.Apply(seen)
+		if r.Input.Watchers != nil {
+			machine = machine.WithWatchers(r.Input.Watchers)
+		}
+		var actions []elect.Action
+		machine, actions = machine.Step(r.At, seen, r.Input.Event)
+		if err := compare(r, actions); err != nil {
+			return err
+		}
+		each(r)
+	}
+	return nil
+}
+
+// compare holds actions against those of a record, by the form in which they are
+// logged.
+func compare(r Record, actions []elect.Action) error {
+	want, err := json.Marshal(r.Actions)
+	if err != nil {
+		return err
+	}
+	got, err := json.Marshal(actions)
+	if err != nil {
+		return err
+	}
+	if !bytes.Equal(got, want) {
+		return &MismatchError{Step: r.Step, Got: brief(actions), Want: brief(r.Actions)}
+	}
+	return nil
+}
+
+func brief(actions []elect.Action) string {
+	if len(actions) == 0 {
+		return "nothing"
+	}
+	return elect.Brief(actions)
+}
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -68,10 +68,17 @@
 	return address
 }
 
-// start runs a program until the test ends.
-func (s *site) start(program string, args ...string) *process {
+// start runs a program until the test ends, with its log in a file if a name is
+// given.
+func (s *site) start(log, program string, args ...string) *process {
 	p := &process{Cmd: exec.Command(filepath.Join(s.dir, program), args...)} //nolint:gosec // a program that the test built
 	p.Stderr = os.Stderr
+	if log != "" {
+		file, err := os.Create(s.log(log))
+		s.Expect(err).NotTo(HaveOccurred())
+		s.t.Cleanup(func() { _ = file.Close() })
+		p.Stdout, p.Stderr = file, file
+	}
 	s.Expect(p.Start()).To(Succeed())
 	s.t.Cleanup(func() {
 		p.signal(syscall.SIGCONT)
@@ -81,6 +88,9 @@
 	return p
 }
 
+// log returns the path of a proxy's log.
+func (s *site) log(host string) string { return filepath.Join(s.dir, host+".log") }
+
 func (s *site) write(name string, body any) string {
 	raw, ok := body.([]byte)
 	if !ok {
@@ -100,7 +110,7 @@
 		if i > 0 {
 			args = append(args, "-leader", s.shipping.address())
 		}
-		m := s.start("poplarlab", args...)
+		m := s.start("", "poplarlab", args...)
 		m.address = address
 		s.members = append(s.members, m)
 		s.links = append(s.links, newLink(s.t, address))
@@ -121,11 +131,12 @@
 		settings := labset.SettingsOf(fmt.Sprintf("host-%d", i+1), s.store)
 		settings.CallerAddress, settings.PeerAddress, settings.OperatorAddress = s.free(), s.free(), s.free()
 		settings.Seeds = []string{}
+		settings.TraceElections = true
 		s.proxies = append(s.proxies, &process{settings: settings})
 		hosts.Hosts = append(hosts.Hosts, book.Host{Name: settings.Host, DataCentre: "dc-1", Region: "region-1", PeerAddress: settings.PeerAddress})
 	}
 	databases := s.write("databases.json", book.DatabasesDoc{Serial: 1, Databases: []book.Database{d}})
-	s.start("poplarlab", "store", "-address", s.store, "-databases", databases, "-hosts", s.write("hosts.json", hosts))
+	s.start("", "poplarlab", "store", "-address", s.store, "-databases", databases, "-hosts", s.write("hosts.json", hosts))
 	csv, err := labset.Sheet()
 	s.Expect(err).NotTo(HaveOccurred())
 	sheet := s.write("sheet.csv", []byte(csv))
@@ -137,7 +148,7 @@
 func (s *site) startProxies() {
 	for i, p := range s.proxies {
 		file := s.write(p.settings.Host+".json", p.settings)
-		started := s.start("poplarrouter", "serve", "-settings", file)
+		started := s.start(p.settings.Host, "poplarrouter", "serve", "-settings", file)
 		started.settings, started.address = p.settings, p.settings.CallerAddress
 		s.proxies[i] = started
 	}
