A proxy's connections and requests are shared by rank

Cause: the limits of callers and of requests in the chain did not know ranks. In a flood of the least urgent work nobody else could connect, and urgent requests were refused as overloaded. The bound on requests was the one on callers, so that it never acted; where it did, it ended open transactions.

Change: package quota; floors as for slots. Requests of open transactions need no place. Limits.InFlight is new (2,000). status shows the room.

Specs red before, green after: 32 of 32 places went to the least urgent rank, now 20; an urgent request got PN003, now none does.

Not built: fairness between callers of one rank for places.

--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -108,6 +108,11 @@
 	t.row("HOST", "DATA CENTRE", "REGION", "CALLERS", "DRAINING")
 	t.row(s.Host, s.DataCentre, s.Region, s.Callers, s.Draining)
 	t.row()
+	t.row("RANK", "ROOM FOR CALLERS")
+	for _, r := range s.Room {
+		t.row(r.Rank, r.Room)
+	}
+	t.row()
 	t.row("SHEET", "LOADED BY", "LOADED AT")
 	t.row(s.Sheet.Serial, s.Sheet.LoadedBy, s.Sheet.LoadedAt.Format(time.RFC3339))
 	t.row()
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -23,6 +23,8 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/quota"
+	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -217,6 +219,11 @@
 	return dispatch
 }
 
+// newQuota returns a quota with the floors that ranks have for slots too.
+func newQuota(size int) *quota.Quota {
+	return quota.New(size, quota.Shares(slots.DefaultFloors().Share))
+}
+
 func newHandler(s config.Settings, bases *ctrl.Bases, books *ctrl.Books, log *event.Log, g *guard.Guard, gates *gate.Dispatch, leaving *leaving) chain.Handler {
 	return chain.New(chain.Options{
 		Bases:      bases,
@@ -225,7 +232,7 @@
 		Guard:      g,
 		Region:     s.Region,
 		DataCentre: s.DataCentre,
-		InFlight:   s.Limits.CallerConnections,
+		InFlight:   newQuota(s.Limits.InFlight),
 		HeldBytes:  s.Limits.HeldAnswerBytes,
 		Confirm:    s.Timing.ConfirmMs.Duration(),
 		Draining:   leaving.draining,
@@ -251,6 +258,7 @@
 	f, cleanUp, err := front.New(front.Options{
 		Address:      s.CallerAddress,
 		Connections:  s.Limits.CallerConnections,
+		Places:       newQuota(s.Limits.CallerConnections),
 		RequestBytes: s.Limits.RequestBytes,
 		Handler:      h,
 		Books:        books,
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -23,6 +23,7 @@
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // The paths of the operators' listener.
@@ -101,8 +102,10 @@
 // Status is what a proxy believes.
 type Status struct {
 	config.Place
-	Draining  bool
-	Callers   int
+	Draining bool
+	Callers  int
+	// Room is how many more callers of each rank could connect.
+	Room      []RankRoom
 	Sheet     SheetStatus
 	Serials   map[book.Kind]uint64
 	Peers     []string
@@ -111,6 +114,12 @@
 	Queues    []QueueStatus
 }
 
+// RankRoom is how many more callers of one rank could connect.
+type RankRoom struct {
+	Rank sheet.Rank
+	Room int
+}
+
 // SheetStatus tells which sheet is in force.
 type SheetStatus struct {
 	Serial   uint64
@@ -159,6 +168,9 @@
 		Peers:    o.mesh.Neighbours(),
 		Pools:    o.bases.Pools(),
 	}
+	for r := sheet.Rank(1); r <= sheet.MaxRank; r++ {
+		s.Room = append(s.Room, RankRoom{Rank: r, Room: o.front.Room(r)})
+	}
 	for _, name := range slices.Sorted(slices.Values(o.bases.Names())) {
 		if base, found := o.bases.Base(name); found {
 			s.Databases = append(s.Databases, databaseStatus(base.View(), time.Now()))
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -41,18 +41,22 @@
 	return sheet.Read
 }
 
-// admit bounds the requests in the chain and refuses work for what is leaving.
+// admit bounds the requests in the chain by rank, and refuses work for what is
+// leaving.
 func (f *filters) admit(next Handler) Handler {
 	return func(ctx context.Context, r *Request) error {
 		if err := f.refuse(r); err != nil {
 			return err
 		}
-		select {
-		case f.inFlight <- struct{}{}:
-		default:
-			return fault.New(fault.Overloaded, "admit", "all %d places for requests are taken", cap(f.inFlight))
+		if r.pinned {
+			// A refusal would end the transaction, which frees nothing sooner than
+			// its own end.
+			return next(ctx, r)
+		}
+		if !f.InFlight.Take(r.Work.Rank) {
+			return fault.New(fault.Overloaded, "admit", "all places for requests of rank %d are taken", r.Work.Rank)
 		}
-		defer func() { <-f.inFlight }()
+		defer f.InFlight.Give(r.Work.Rank)
 		return next(ctx, r)
 	}
 }
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -15,6 +15,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/quota"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -110,8 +111,9 @@
 	Region string
 	// DataCentre is preferred for reads.
 	DataCentre string
-	// InFlight bounds the requests in the chain.
-	InFlight int
+	// InFlight bounds the requests in the chain, besides those of open
+	// transactions.
+	InFlight *quota.Quota
 	// HeldBytes bounds what is held back until a write is confirmed.
 	HeldBytes int
 	// Confirm is how long a write waits for its confirmation.
@@ -142,7 +144,7 @@
 
 // New returns the chain in the order in which its filters run.
 func New(o Options) Handler {
-	f := &filters{Options: o, inFlight: make(chan struct{}, o.InFlight)}
+	f := &filters{Options: o}
 	h := f.run
 	for _, filter := range []Filter{f.confirm, f.lend, f.route, f.admit, f.classify} {
 		h = filter(h)
@@ -150,7 +152,4 @@
 	return h
 }
 
-type filters struct {
-	Options
-	inFlight chan struct{}
-}
+type filters struct{ Options }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -58,6 +58,9 @@
 type Limits struct {
 	// CallerConnections is how many callers may be connected.
 	CallerConnections int
+	// InFlight is how many requests may be under way, besides those of open
+	// transactions.
+	InFlight int
 	// MemberConnections is how many pooled connections to each member the
 	// proxy opens, for reads and for writes together.
 	MemberConnections int
@@ -96,6 +99,7 @@
 		MemberUser: "poplarrouter",
 		Limits: Limits{
 			CallerConnections: 10_000,
+			InFlight:          2_000,
 			MemberConnections: 4,
 			Queue:             1_000,
 			HeldAnswerBytes:   1 << 20,
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -84,6 +84,8 @@
 		return "a string"
 	case reflect.Slice:
 		return "a list of strings"
+	case reflect.Bool:
+		return "true or false"
 	default:
 		return "a whole number"
 	}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -22,14 +22,19 @@
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/internal/quota"
 	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // Options are what a Front depends on.
 type Options struct {
 	Address string
-	// Connections bounds the callers connected at a time.
+	// Connections bounds the callers connected at a time. Half as many again may
+	// be at their start-up message, of whom no rank is known.
 	Connections int
+	// Places shares the connections among the ranks.
+	Places *quota.Quota
 	// RequestBytes bounds one request.
 	RequestBytes int
 	Handler      chain.Handler
@@ -131,7 +136,7 @@
 	if f.draining.Load() {
 		return nil, fault.New(fault.Leaving, "connect", "this proxy is leaving")
 	}
-	if len(f.sessions) >= f.options.Connections {
+	if len(f.sessions) >= f.options.Connections+f.options.Connections/2 {
 		return nil, fault.New(fault.Overloaded, "connect", "all %d connections are taken", f.options.Connections)
 	}
 	f.nextID++
@@ -142,6 +147,9 @@
 }
 
 func (f *Front) forget(s *Session) {
+	if s.rank != 0 {
+		f.options.Places.Give(s.rank)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.sessions, s.id)
@@ -171,6 +179,9 @@
 	return len(f.sessions)
 }
 
+// Room returns how many more callers of a rank could connect.
+func (f *Front) Room(r sheet.Rank) int { return f.options.Places.Room(r) }
+
 const drainLook = 5 * time.Millisecond
 
 // Drain stops listening, ends idle sessions, and waits until those with a
--- a/internal/front/login.go
+++ b/internal/front/login.go
@@ -12,6 +12,7 @@
 	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 const (
@@ -84,7 +85,8 @@
 	if s.caller.Service == "" {
 		s.caller.Service = s.caller.Name
 	}
-	if _, allowed := s.front.options.Books.Book().Sheet().Access(s.caller.Service, s.caller.Name); !allowed {
+	rows, allowed := s.front.options.Books.Book().Sheet().Access(s.caller.Service, s.caller.Name)
+	if !allowed {
 		return fault.New(fault.Denied, "log in", "caller %q is not allowed on service %q", s.caller.Name, s.caller.Service)
 	}
 	for name, value := range start.Parameters {
@@ -92,7 +94,25 @@
 			return err
 		}
 	}
-	return s.readOptions(start.Parameters["options"])
+	if err := s.readOptions(start.Parameters["options"]); err != nil {
+		return err
+	}
+	return s.takePlace(rows)
+}
+
+// takePlace takes a place of the rank of the kind of work that the caller named at
+// its start, or of its least urgent kind. A kind that the sheet does not list is
+// refused with the first request.
+func (s *Session) takePlace(rows []sheet.Row) error {
+	work, listed := sheet.Work(rows, s.label)
+	if !listed {
+		work, _ = sheet.Work(rows, "")
+	}
+	if !s.front.options.Places.Take(work.Rank) {
+		return fault.New(fault.Overloaded, "log in", "all connections for rank %d are taken", work.Rank)
+	}
+	s.rank = work.Rank
+	return nil
 }
 
 // readOptions reads the proxy's settings out of a start-up option such as
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -18,6 +18,7 @@
 	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // Session is one caller's connection.
@@ -31,6 +32,8 @@
 	key     *pgproto3.BackendKeyData
 	caller  chain.Caller
 
+	// rank is that of the place that the connection has taken, or 0.
+	rank     sheet.Rank
 	label    string
 	floor    group.Floor
 	token    bool
