A primary whose process has ended is replaced after a quarter of the time

Cause: the gap after a killed primary was 1.11 s at the median, of which 1 s was the time that any silent primary is given. A member at whose address nothing listens refuses at once, and that was read as silence.

Change: a refusal is an input of its own; suspicion and agreement then take a quarter of their times. A question on a connection that had ended is asked again at once on a new one, so that a refusal is seen at once too. Still a majority of watchers, one claim, a fenced majority of members.

Not taken: the same for connections that end or are reset (see docs/DECISIONS.md).

A primary that is restarted for longer than 0.25 s loses its place, which operators are told.

--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -212,6 +212,8 @@
 		b.noteReach(v, in.Report.Member)
 	case in.Silence != "":
 		b.noteSilence(v, in.Silence)
+	case in.Refusal != "":
+		b.noteSilence(v, in.Refusal)
 	case in.Members != nil:
 		b.startPollers(in.Members)
 	default:
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -134,13 +134,26 @@
 	defer cancel()
 	asked := time.Now()
 	state, err := control.Ask(askCtx)
+	if err != nil && askCtx.Err() == nil && !member.Refuses(err) {
+		// The connection had ended. Another one tells whether the member has.
+		control.Close()
+		state, err = control.Ask(askCtx)
+	}
 	if ctx.Err() != nil {
 		return
 	}
 	if err != nil {
 		control.Close()
-		b.inputs.Offer(trace.Input{Silence: m.Name})
+		b.inputs.Offer(failed(m.Name, err))
 		return
 	}
 	b.inputs.Offer(trace.Input{Report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
 }
+
+// failed returns what a question shows that was not answered.
+func failed(name string, err error) trace.Input {
+	if member.Refuses(err) {
+		return trace.Input{Refusal: name}
+	}
+	return trace.Input{Silence: name}
+}
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -208,11 +209,13 @@
 	}
 }
 
-// DeadError reports a call to a member that has ended.
+// deadError reports a call to a member that has ended.
 type deadError struct{}
 
 func (deadError) Error() string { return "connection refused" }
 
+func (deadError) Unwrap() error { return syscall.ECONNREFUSED }
+
 // do runs an operation on the member: at once, or when it is resumed, whether
 // the caller still waits or not.
 func (m *fakeMember) do(ctx context.Context, operation func(*lablog.Log) error) (group.State, error) {
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -19,6 +19,8 @@
 
 import (
 	"time"
+
+	"poplarrouter.example/poplarrouter/internal/view"
 )
 
 // Stage is how far a machine has come with a promotion.
@@ -45,6 +47,10 @@
 	// Doubt is how long a primary must be silent to a watcher that is asked by
 	// another, before it agrees.
 	Doubt time.Duration
+	// RefusedSuspect and RefusedDoubt are the same for a primary at whose address
+	// nothing listens: a process that has ended is not merely slow.
+	RefusedSuspect time.Duration
+	RefusedDoubt   time.Duration
 	// Repoll is the period between questions to the other watchers.
 	Repoll time.Duration
 	// Stagger is how much later each further watcher claims a term.
@@ -56,14 +62,33 @@
 	Grace time.Duration
 }
 
+// suspect returns how long a member must be silent before it is suspected.
+func (r Rules) suspect(v view.View, member string) time.Duration {
+	if v.Refusing(member) {
+		return r.RefusedSuspect
+	}
+	return r.Suspect
+}
+
+// doubt returns how long a member must be silent before a watcher that is asked
+// agrees.
+func (r Rules) doubt(v view.View, member string) time.Duration {
+	if v.Refusing(member) {
+		return r.RefusedDoubt
+	}
+	return r.Doubt
+}
+
 // RulesFor returns the rules for a primary that may be silent for suspect.
 func RulesFor(suspect time.Duration) Rules {
 	return Rules{
-		Suspect: suspect,
-		Doubt:   suspect * 6 / 10,
-		Repoll:  suspect / 4,
-		Stagger: suspect / 4,
-		Attempt: suspect * 3 / 2,
-		Grace:   suspect / 10,
+		Suspect:        suspect,
+		Doubt:          suspect * 6 / 10,
+		RefusedSuspect: suspect / 4,
+		RefusedDoubt:   suspect * 3 / 20,
+		Repoll:         suspect / 4,
+		Stagger:        suspect / 4,
+		Attempt:        suspect * 3 / 2,
+		Grace:          suspect / 10,
 	}
 }
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -65,7 +65,7 @@
 		return false
 	}
 	r, found := v.Primary()
-	return !found || v.Fence() > term || silentFor(v, r, now) >= rules.Doubt
+	return !found || v.Fence() > term || silentFor(v, r, now) >= rules.doubt(v, r.Member)
 }
 
 // silentFor returns how long a member has not answered, or 0 if it answered the
@@ -120,7 +120,7 @@
 	if m.stage == Fencing || m.stage == Choosing {
 		return primary.State.Term >= m.claim.Term
 	}
-	if m.target != "" || v.Fence() > v.Term() || now.Sub(primary.Asked) >= m.rules.Suspect {
+	if m.target != "" || v.Fence() > v.Term() || now.Sub(primary.Asked) >= m.rules.suspect(v, primary.Member) {
 		return false
 	}
 	return primary.Asked.After(m.since) || primary.State.Term > m.term
@@ -148,7 +148,7 @@
 		return true
 	}
 	if r, found := v.Primary(); found {
-		return silentFor(v, r, now) >= m.rules.Suspect
+		return silentFor(v, r, now) >= m.rules.suspect(v, r.Member)
 	}
 	return now.Sub(m.started) >= m.rules.Suspect
 }
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -89,6 +89,8 @@
 		r.view = r.view.WithReport(view.Report{Member: args[0], Asked: now, Heard: now, State: s})
 	case "silent":
 		r.view = r.view.WithSilence(args[0])
+	case "refuses":
+		r.view = r.view.WithRefusal(args[0])
 	case "vote":
 		return elect.Event{Vote: &elect.Vote{From: args[0], Term: r.term(args[1]), Down: args[2] == "down"}}
 	case "won":
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jackc/pgx/v5/pgconn"
@@ -60,6 +61,10 @@
 	return fmt.Sprintf("order to %s: refused: %s", e.Member, e.Text)
 }
 
+// Refuses tells whether a call failed because nothing listens at the member's
+// address.
+func Refuses(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+
 // StatusError reports an answer that does not describe a member's state.
 type StatusError struct {
 	Got  string
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -28,6 +28,8 @@
 	Report *view.Report `json:",omitempty"`
 	// Silence names a member that left a question unanswered.
 	Silence string `json:",omitempty"`
+	// Refusal names a member at whose address nothing listened.
+	Refusal string `json:",omitempty"`
 	// Members is a new list of members.
 	Members []view.Member `json:",omitempty"`
 	// Watchers is a new list of watchers, in the order of their claim.
@@ -43,6 +45,9 @@
 	if i.Silence != "" {
 		v = v.WithSilence(i.Silence)
 	}
+	if i.Refusal != "" {
+		v = v.WithRefusal(i.Refusal)
+	}
 	if i.Members != nil {
 		v = v.WithMembers(i.Members)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -70,7 +70,9 @@
 	members []Member
 	reports map[string]Report
 	silent  map[string]bool
-	points  []Point
+	// refusing are the silent members at whose address nothing listens.
+	refusing map[string]bool
+	points   []Point
 }
 
 // New returns the view of a database of which nothing has been heard.
@@ -105,6 +107,10 @@
 	return v.silent[member] || !heard
 }
 
+// Refusing tells whether nothing listened at the member's address when it was
+// asked last: its process has ended.
+func (v View) Refusing(member string) bool { return v.refusing[member] }
+
 // WithMembers returns the view with another list of members. Reports of members
 // that are gone, or have moved to another address, are dropped. A member that
 // was closed stays so for as long as it is leaving.
@@ -138,6 +144,18 @@
 // WithSilence returns the view after a member left a question unanswered.
 func (v View) WithSilence(member string) View {
 	v.silent = cloneWith(v.silent, member, true)
+	return v.withRefusing(member, false)
+}
+
+// WithRefusal returns the view after nothing listened at a member's address.
+func (v View) WithRefusal(member string) View {
+	return v.WithSilence(member).withRefusing(member, true)
+}
+
+func (v View) withRefusing(member string, is bool) View {
+	if v.refusing[member] != is {
+		v.refusing = cloneWith(v.refusing, member, is)
+	}
 	return v
 }
 
@@ -153,6 +171,7 @@
 	v.reports = cloneWith(v.reports, r.Member, r)
 	if v.silent[r.Member] {
 		v.silent = cloneWith(v.silent, r.Member, false)
+		v = v.withRefusing(r.Member, false)
 	}
 	if p, proven := v.prove(); proven {
 		v.points = withPoint(v.points, p)
