--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -65,6 +65,7 @@
 type Dispatch struct {
 	options Options
 
+	// mu may be taken while a gate's lock is held, but not the other way round.
 	mu       sync.Mutex
 	stations map[string]*ownedStation
 	remotes  map[remoteKey]*remote
--- a/internal/gate/remote.go
+++ b/internal/gate/remote.go
@@ -126,45 +126,55 @@
 func (d *Dispatch) TakeDone(host string, done peer.Done) {
 	r := d.takeRemote(remoteKey{host: host, number: done.ID})
 	switch {
-	case r == nil && done.Next != 0:
-		d.charge(remoteKey{host: host, number: done.Next})
-	case r == nil:
 	case done.Next != 0:
-		d.follow(r, done.Next)
-	default:
+		d.follow(r, remoteKey{host: host, number: done.Next})
+	case r != nil:
 		r.gate.Done(r.work.ID)
 	}
 }
 
-// charge counts a slot for a request that follows one whose slot was reclaimed.
-func (d *Dispatch) charge(key remoteKey) {
-	d.mu.Lock()
-	r := d.remotes[key]
-	if r != nil {
-		r.given, r.told = true, time.Now()
+// follow notes that a request uses the slot of another one that has ended. The
+// ended one is nil if its slot was reclaimed: then the next one gets a slot of its
+// own, if it is known.
+func (d *Dispatch) follow(ended *remote, key remoteKey) {
+	next := d.take(key, ended.standIn(key))
+	if next == nil {
+		return
 	}
-	d.mu.Unlock()
-	if r != nil {
-		r.gate.Followed(0, r.work, r)
+	var endedID uint64
+	if ended != nil {
+		endedID = ended.work.ID
 	}
+	next.gate.Followed(endedID, next.work, next)
 }
 
-// follow notes that a request uses the slot of another one that has ended. A
-// request that is not known was turned away while it began.
-func (d *Dispatch) follow(ended *remote, number uint64) {
-	unknown := &remote{
-		dispatch: d, gate: ended.gate, answer: ended.answer, asked: ended.asked,
-		work: slots.Work{ID: ended.gate.Reserve(), Host: ended.work.Host, Number: number},
+// standIn returns a request to be used in place of one that is not known, because
+// it was turned away while it began. It is nil if the ended one is. The dispatch's
+// lock must not be held, since the gate's comes first.
+func (r *remote) standIn(key remoteKey) *remote {
+	if r == nil {
+		return nil
 	}
+	return &remote{
+		dispatch: r.dispatch, gate: r.gate, answer: r.answer, asked: r.asked,
+		work: slots.Work{ID: r.gate.Reserve(), Host: key.host, Number: key.number},
+	}
+}
+
+// take notes that a request has a slot, and returns it. If it is not known the
+// other one, which may be nil, takes its place.
+func (d *Dispatch) take(key remoteKey, other *remote) *remote {
 	d.mu.Lock()
-	next, found := d.remotes[unknown.key()]
-	if !found {
-		next = unknown
-		d.remotes[next.key()] = next
-	}
-	next.given, next.told = true, time.Now()
-	d.mu.Unlock()
-	ended.gate.Followed(ended.work.ID, next.work, next)
+	defer d.mu.Unlock()
+	next := d.remotes[key]
+	if next == nil && other != nil {
+		next = other
+		d.remotes[key] = other
+	}
+	if next != nil {
+		next.given, next.told = true, time.Now()
+	}
+	return next
 }
 
 // dropRemotes forgets the requests at a gate that is closed.
