--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -62,13 +62,13 @@
 
 // New starts a member and returns it with its clean-up function.
 func New(options Options) (*Member, func(), error) {
-	rows, closeEngine, err := newEngine()
+	listener, err := net.Listen("tcp", options.Address)
 	if err != nil {
 		return nil, nil, err
 	}
-	listener, err := net.Listen("tcp", options.Address)
+	rows, closeEngine, err := newEngine()
 	if err != nil {
-		closeEngine()
+		_ = listener.Close()
 		return nil, nil, err
 	}
 	role := group.Primary
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -118,6 +119,21 @@
 			s.shipping = newLink(s.t, address)
 		}
 	}
+	for _, m := range s.members {
+		s.awaitListener(m.address)
+	}
+}
+
+// awaitListener waits until a process listens at an address. Proxies that are ready
+// have not necessarily reached a member.
+func (s *site) awaitListener(address string) {
+	s.Eventually(func() error {
+		conn, err := net.Dial("tcp", address)
+		if err != nil {
+			return err
+		}
+		return conn.Close()
+	}).Should(Succeed())
 }
 
 func (s *site) startStore() {
