--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -98,13 +98,13 @@
 	_, _ = fmt.Fprintln(t)
 }
 
-func newTable(out io.Writer) *tabwriter.Writer {
+func newTable(out io.Writer) table {
 	const padding = 2
-	return tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)
+	return table{tabwriter.NewWriter(out, 0, 0, padding, ' ', 0)}
 }
 
 func printStatus(out io.Writer, s app.Status) error {
-	t := table{newTable(out)}
+	t := newTable(out)
 	t.row("HOST", "DATA CENTRE", "REGION", "CALLERS", "DRAINING")
 	t.row(s.Host, s.DataCentre, s.Region, s.Callers, s.Draining)
 	t.row()
--- a/cmd/poplarrouter/replay.go
+++ b/cmd/poplarrouter/replay.go
@@ -39,7 +39,7 @@
 	if err != nil {
 		return err
 	}
-	out := table{newTable(os.Stdout)}
+	out := newTable(os.Stdout)
 	out.row("STEP", "AT", "ACTIONS", "INPUT")
 	err = trace.Replay(records, func(r trace.Record) {
 		if len(r.Actions) > 0 {
