--- a/cmd/poplarrouter/sheet.go
+++ b/cmd/poplarrouter/sheet.go
@@ -16,7 +16,7 @@
 
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/cli"
-	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/pgfrt"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -96,7 +96,7 @@
 	if password == "" {
 		return &cli.UsageError{Detail: "got no password on standard input"}
 	}
-	v, err := front.Verifier(password, rand.Text(), scramIterations)
+	v, err := pgfrt.Verifier(password, rand.Text(), scramIterations)
 	if err != nil {
 		return err
 	}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -23,6 +23,8 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/pgfrt"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
 	"poplarrouter.example/poplarrouter/internal/quota"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/internal/store"
@@ -166,14 +168,11 @@
 }
 
 // loginOf returns how to log in at a member for one kind of traffic.
-func loginOf(s config.Settings, m view.Member, kind meter.Kind, bytes *meter.Meter) member.Login {
-	return member.Login{User: s.MemberUser, Password: s.MemberPassword, Host: s.Host, Dial: bytes.Dial(kind, m.Region)}
+func loginOf(s config.Settings, m view.Member, kind meter.Kind, bytes *meter.Meter) pgmem.Login {
+	return pgmem.Login{User: s.MemberUser, Password: s.MemberPassword, Host: s.Host, Dial: bytes.Dial(kind, m.Region)}
 }
 
 func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh, bytes *meter.Meter) *ctrl.Bases {
-	login := func(m view.Member, kind meter.Kind) member.Login {
-		return loginOf(s, m, kind, bytes)
-	}
 	bases, cleanUp := ctrl.NewBases(ctrl.BasesOptions{
 		Base: ctrl.BaseOptions{
 			Host:     s.Host,
@@ -183,15 +182,19 @@
 			Timeout:  s.Timing.AskTimeoutMs.Duration(),
 			Watchers: mesh,
 			Store:    st,
-			Dial:     func(m view.Member) member.Control { return member.NewLink(m.Address, login(m, meter.Control)) },
-			Log:      log,
-			Trace:    s.TraceElections,
+			Dial: func(m view.Member) member.Control {
+				return pgmem.NewLink(m.Address, loginOf(s, m, meter.Control, bytes))
+			},
+			Log:   log,
+			Trace: s.TraceElections,
+		},
+		Books: books,
+		Open: func(database string, m view.Member) (*member.Pool, func()) {
+			login := loginOf(s, m, meter.Work, bytes)
+			login.Database = database
+			return pgmem.NewPool(m.Address, login, s.Limits.MemberConnections, s.Timing.IdleCheckMs.Duration())
 		},
-		Books:       books,
-		Login:       func(m view.Member) member.Login { return login(m, meter.Work) },
-		Connections: s.Limits.MemberConnections,
-		IdleCheck:   s.Timing.IdleCheckMs.Duration(),
-		Hosts:       mesh.SetHosts,
+		Hosts: mesh.SetHosts,
 	})
 	onStop(lc, cleanUp)
 	return bases
@@ -211,7 +214,7 @@
 		Books:   books,
 		Bases:   bases,
 		Dial: func(m view.Member) member.Control {
-			return member.NewLink(m.Address, loginOf(s, m, meter.Control, bytes))
+			return pgmem.NewLink(m.Address, loginOf(s, m, meter.Control, bytes))
 		},
 		Log: log,
 	})
@@ -257,6 +260,7 @@
 func newFront(lc fx.Lifecycle, s config.Settings, h chain.Handler, books *ctrl.Books, log *event.Log, g *guard.Guard, registry *prometheus.Registry, mesh *peer.Mesh, l *leaving) (*front.Front, error) {
 	f, cleanUp, err := front.New(front.Options{
 		Address:      s.CallerAddress,
+		Protocol:     pgfrt.Protocol{},
 		Connections:  s.Limits.CallerConnections,
 		Places:       newQuota(s.Limits.CallerConnections),
 		RequestBytes: s.Limits.RequestBytes,
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -22,9 +22,7 @@
 		if !found {
 			return fault.New(fault.Unlisted, "classify", "the sheet lists no kind %q for caller %q on service %q", r.Label, r.Caller.Name, r.Caller.Service)
 		}
-		if r.Batch.BeginsReadOnly() {
-			work.Access = sheet.Read
-		}
+		work.Access = r.Exchange.Access(work.Access)
 		if r.pinned {
 			work.Access = accessOf(r.Lease)
 		}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -17,7 +17,6 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/quota"
 	"poplarrouter.example/poplarrouter/internal/view"
-	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/group"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -51,11 +50,13 @@
 	l.slot.Release()
 }
 
-// Request is one batch of a caller, with what the filters find out about it.
+// Request is one request of a caller, with what the filters find out about it.
 type Request struct {
 	Caller Caller
-	Batch  *wire.Batch
-	Out    *wire.Writer
+	// Name is the request's name in the log, given by the caller or by the proxy.
+	Name string
+	// Exchange carries the request and its answer.
+	Exchange Exchange
 	// Label is the kind of work that the caller gave, or empty.
 	Label string
 	// Floor is what the caller's reads must see; Token tells that the caller
@@ -76,7 +77,7 @@
 	// is run on.
 	Lease *Lease
 	// Answer sums up the member's answer.
-	Answer wire.Answer
+	Answer Answer
 	// Committed is the position of the request's write, confirmed, or zero.
 	Committed group.Floor
 
@@ -86,7 +87,57 @@
 	need    group.Floor
 	member  view.Member
 	sends   int
-	refused bool
+}
+
+// Exchange is one request of a caller with its answer, in the protocol that the
+// caller and the members speak. A request that is refused before any of it took
+// effect may be run again on another connection.
+type Exchange interface {
+	// Access returns what the request may do, given what the sheet says of its
+	// kind: one that opens a read-only transaction is a read.
+	Access(listed sheet.Access) sheet.Access
+	// Run sends the request over a connection and passes the answer on, but for
+	// what is held back. A failure leaves the connection unusable, and what became
+	// of the request unknown.
+	Run(line member.Line, o Order) (Answer, error)
+	// Sent tells whether any of the answer has reached the caller.
+	Sent() bool
+	// Discard forgets all of the answer that has not reached the caller.
+	Discard()
+	// Drop forgets the part of the answer that is held back.
+	Drop()
+}
+
+// Order tells how a request is to be run.
+type Order struct {
+	// Write tells that the request may write, so that the end of its answer is
+	// held back until the write is confirmed.
+	Write bool
+	// Pinned tells that the request is part of an open transaction.
+	Pinned bool
+	// Floor is what the member must have applied, as far as it can tell itself.
+	Floor group.Floor
+	// HeldBytes bounds what is held back.
+	HeldBytes int
+	// Deadline is when the answer is given up.
+	Deadline time.Time
+}
+
+// Answer sums up a member's answer.
+type Answer struct {
+	// Idle tells that no transaction is open behind the request.
+	Idle bool
+	// Whole tells that the member answered all of the request, or an error after
+	// which it skips the rest.
+	Whole bool
+	// Dirty tells that the request left something behind on the connection.
+	Dirty bool
+	// Refused tells that the member refused the request because it is no primary,
+	// and that nothing of it is in effect.
+	Refused bool
+	// Committed is the position of the request's write that is to be confirmed, or
+	// zero.
+	Committed group.Floor
 }
 
 // Sent tells whether any of the request was sent to a member that did not refuse
--- /dev/null
+++ b/internal/chain/export_test.go
@@ -0,0 +1,15 @@
+package chain
+
+import (
+	"context"
+
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/view"
+)
+
+// RunLent runs a request that may write on a connection lent from a pool, with a
+// slot, without the filters before that step.
+func RunLent(ctx context.Context, o Options, r *Request, pool *member.Pool, conn *member.Conn, slot Slot) error {
+	r.Lease = &Lease{Conn: conn, Member: view.Member{Name: "m"}, MayWrite: true, pool: pool, slot: slot}
+	return (&filters{Options: o}).run(ctx, r)
+}
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -7,7 +7,6 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/view"
-	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -43,13 +42,13 @@
 		primary, _ := v.Writable()
 		r.targets = []view.Member{primary}
 		f.Log.Emit(event.WriteRouted, f.routed(r, primary, "primary of the term", v.Term()))
-		r.refused = false
+		r.Answer = Answer{}
 		err := next(ctx, r)
-		if !r.refused && !unreachable(err) {
+		if !r.Answer.Refused && !unreachable(err) {
 			return err
 		}
 		refusedBy, refusedAt = primary.Name, time.Now()
-		r.Out.Discard()
+		r.Exchange.Discard()
 	}
 }
 
@@ -62,18 +61,6 @@
 	return err != nil && fault.Of(err).Kind == fault.Unreachable
 }
 
-// readOnlyState is the SQLSTATE by which a member refuses a write because it is
-// a replica, or promised a later term.
-const readOnlyState = "25006"
-
-// refusedAsReplica tells whether a write was refused because the member is not
-// the primary, with nothing of it in effect: no statement completed, or the only
-// one did and its commit, which comes after it, was refused.
-func refusedAsReplica(b *wire.Batch, a wire.Answer) bool {
-	nothing := a.Completed == 0 || (a.Completed == 1 && b.Single())
-	return a.Refusal == readOnlyState && nothing && a.Status == wire.Idle
-}
-
 // routeRead finds the members that may serve a read.
 func (f *filters) routeRead(ctx context.Context, r *Request, next Handler) error {
 	found, err := f.finder().Find(ctx, r.base, Want{
@@ -114,7 +101,7 @@
 			if err == nil || !f.mayMove(r, err) {
 				return honest(r, err)
 			}
-			r.Out.Discard()
+			r.Exchange.Discard()
 		}
 		return honest(r, err)
 	}
@@ -136,7 +123,7 @@
 	case fault.Unreachable:
 		return true
 	case fault.Severed:
-		return !r.Write() && !r.Out.Sent()
+		return !r.Write() && !r.Exchange.Sent()
 	default:
 		return false
 	}
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -4,23 +4,17 @@
 	"context"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
-	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/view"
-	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/fault"
-	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
 // answerGrace is how much longer than its deadline a request may run before its
 // connection counts as silent. The answer that comes within it is passed on.
 const answerGrace = 2 * time.Second
 
-// run sends the batch, passes the answer on, and, if the work may have written,
-// reads the position behind it.
+// run sends the request and passes the answer on.
 func (f *filters) run(_ context.Context, r *Request) error {
 	l := r.Lease
 	r.member = l.Member
@@ -31,11 +25,8 @@
 		f.drop(r, true)
 		return Late("send", r)
 	}
-	raw, plan := r.Batch.Encode(l.Prepared)
-	if l.MayWrite {
-		raw = appendStatus(raw)
-	}
-	if err := l.SetDeadline(r.Deadline.Add(answerGrace)); err != nil {
+	deadline := r.Deadline.Add(answerGrace)
+	if err := l.SetDeadline(deadline); err != nil {
 		f.drop(r, false)
 		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
 	}
@@ -46,28 +37,8 @@
 	r.sends++
 	r.Track(l)
 	defer r.Track(nil)
-	if _, err := l.Write(raw); err != nil {
-		f.drop(r, false)
-		return fault.Wrap(err, fault.Severed, "send", "the connection to %s ended while the work was sent", l.Member.Name)
-	}
-	return f.receive(r, plan)
-}
-
-func appendStatus(raw []byte) []byte {
-	raw, _ = (&pgproto3.Query{String: member.StatusQuery}).Encode(raw)
-	return raw
-}
-
-func (f *filters) receive(r *Request, plan *wire.Plan) error {
-	l := r.Lease
-	limit := 0
-	if l.MayWrite {
-		limit = f.HeldBytes
-	}
-	r.Out.Begin()
-	r.Out.SetDeadline(r.Deadline.Add(answerGrace))
-	defer r.Out.SetDeadline(time.Time{})
-	answer, err := wire.Relay(l.Frontend, r.Out, plan, l.Prepared, limit)
+	order := Order{Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, HeldBytes: f.HeldBytes, Deadline: deadline}
+	answer, err := r.Exchange.Run(l.Line, order)
 	r.Answer = answer
 	if err != nil {
 		f.drop(r, false)
@@ -75,17 +46,11 @@
 	}
 	f.Guard.Assert(guard.WholeAnswer, answer.Whole, event.Fields{"CallerID": r.Caller.ID, "Member": l.Member.Name})
 	f.assertRead(r)
-	r.refused = l.MayWrite && !r.pinned && !r.Out.Sent() && refusedAsReplica(r.Batch, answer)
-	if l.MayWrite {
-		if err := f.readPosition(r); err != nil {
-			f.drop(r, false)
-			return err
-		}
-	}
-	if answer.Status == wire.Idle {
+	r.Committed = answer.Committed
+	if answer.Idle {
 		f.drop(r, !answer.Dirty)
 	}
-	if r.refused {
+	if answer.Refused {
 		// The member executed nothing, so that the work may be sent again.
 		r.sends = 0
 	}
@@ -106,28 +71,6 @@
 	})
 }
 
-// readPosition reads the member's position after the batch. Outside a
-// transaction it is at or past everything that the batch committed. A batch that
-// was refused committed nothing, and has no position to confirm.
-func (f *filters) readPosition(r *Request) error {
-	row, err := wire.ReadRow(r.Lease.Frontend)
-	if err != nil {
-		return err
-	}
-	if r.refused || r.Answer.Status != wire.Idle || r.Answer.Completed == 0 {
-		return nil
-	}
-	if len(row) != 1 {
-		return fault.New(fault.Unconfirmed, "confirm", "member %s told no position behind the write", r.Lease.Member.Name)
-	}
-	state, err := member.ParseState(string(row[0]))
-	if err != nil || state.Role != group.Primary {
-		return fault.Wrap(err, fault.Unconfirmed, "confirm", "member %s told no position behind the write", r.Lease.Member.Name)
-	}
-	r.Committed = group.Floor{Term: state.Term, Position: state.Received}
-	return nil
-}
-
 // drop ends the request's hold on its connection.
 func (f *filters) drop(r *Request, clean bool) {
 	l := r.Lease
@@ -147,7 +90,7 @@
 func (f *filters) confirm(next Handler) Handler {
 	return func(ctx context.Context, r *Request) error {
 		if err := next(ctx, r); err != nil {
-			r.Out.Drop()
+			r.Exchange.Drop()
 			return err
 		}
 		if r.Committed.IsZero() {
@@ -160,7 +103,7 @@
 		v, judged := r.base.Await(waitCtx, func(v view.View) bool { return v.Confirm(primary, r.Committed) != view.Waiting })
 		verdict := v.Confirm(primary, r.Committed)
 		if !judged || verdict != view.Held {
-			r.Out.Drop()
+			r.Exchange.Drop()
 			return fault.New(fault.Unconfirmed, "confirm", "no majority confirmed position %s in its term (%s)", r.Committed, verdict)
 		}
 		f.Guard.Assert(guard.NoReplacedAck, v.Confirm(primary, r.Committed) == view.Held, event.Fields{"Position": r.Committed.String()})
--- a/internal/chain/run_test.go
+++ b/internal/chain/run_test.go
@@ -1,4 +1,4 @@
-package chain
+package chain_test
 
 import (
 	"bytes"
@@ -12,10 +12,12 @@
 	. "github.com/onsi/gomega"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/member"
-	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
+	"poplarrouter.example/poplarrouter/internal/pgrun"
 	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -67,18 +69,18 @@
 func (s *sink) SetWriteDeadline(time.Time) error { return nil }
 
 // runOn runs one extended statement that may write on a scripted member.
-func runOn(t *testing.T, address string) (*Request, error) {
+func runOn(t *testing.T, address string) (*chain.Request, error) {
 	return runUntil(t, address, time.Now().Add(time.Minute))
 }
 
 // runUntil does so with a slot that lapses at a time.
-func runUntil(t *testing.T, address string, lapses time.Time) (*Request, error) {
+func runUntil(t *testing.T, address string, lapses time.Time) (*chain.Request, error) {
 	g := NewWithT(t)
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
 	broken := func(p guard.Promise) { t.Errorf("promise %s is broken", p) }
-	f := &filters{Options: Options{Log: log, Guard: guard.New(log, prometheus.NewRegistry(), broken), HeldBytes: 1 << 10}}
-	pool, closePool := member.NewPool(address, member.Login{User: "u"}, 1, time.Minute)
+	options := chain.Options{Log: log, Guard: guard.New(log, prometheus.NewRegistry(), broken), HeldBytes: 1 << 10}
+	pool, closePool := pgmem.NewPool(address, pgmem.Login{User: "u"}, 1, time.Minute)
 	t.Cleanup(closePool)
 	conn, err := pool.Get(context.Background(), member.ReadWrite)
 	g.Expect(err).NotTo(HaveOccurred())
@@ -88,23 +90,22 @@
 		batch, err = c.Add(m)
 		g.Expect(err).NotTo(HaveOccurred())
 	}
-	r := &Request{
-		Batch: batch, Out: wire.NewWriter(&sink{}), Track: func(*Lease) {}, Deadline: time.Now().Add(time.Minute),
-		Lease: &Lease{Conn: conn, Member: view.Member{Name: "m"}, MayWrite: true, pool: pool, slot: Slot{Until: lapses, Release: func() {}}},
+	r := &chain.Request{
+		Exchange: pgrun.New(batch, wire.NewWriter(&sink{})), Track: func(*chain.Lease) {}, Deadline: time.Now().Add(time.Minute),
 	}
-	return r, f.run(context.Background(), r)
+	return r, chain.RunLent(context.Background(), options, r, pool, conn, chain.Slot{Until: lapses, Release: func() {}})
 }
 
 func stateRow(s group.State) []pgproto3.BackendMessage {
 	return []pgproto3.BackendMessage{
-		&pgproto3.DataRow{Values: [][]byte{[]byte(member.FormatState(s))}},
+		&pgproto3.DataRow{Values: [][]byte{[]byte(pgmem.FormatState(s))}},
 		&pgproto3.CommandComplete{CommandTag: []byte("SELECT 1")}, &pgproto3.ReadyForQuery{TxStatus: wire.Idle},
 	}
 }
 
 var (
 	accepted  = []pgproto3.BackendMessage{&pgproto3.ParseComplete{}, &pgproto3.BindComplete{}, &pgproto3.CommandComplete{CommandTag: []byte("INSERT 0 1")}}
-	refusal   = &pgproto3.ErrorResponse{Code: readOnlyState}
+	refusal   = &pgproto3.ErrorResponse{Code: "25006"}
 	idle      = &pgproto3.ReadyForQuery{TxStatus: wire.Idle}
 	committed = group.State{Role: group.Primary, Term: 3, EntryTerm: 3, Received: 12}
 )
@@ -123,7 +124,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(r.Committed).To(Equal(group.Floor{Term: 3, Position: 12}))
 	g.Expect(r.Sent()).To(BeTrue())
-	g.Expect(r.refused).To(BeFalse())
+	g.Expect(r.Answer.Refused).To(BeFalse())
 }
 
 // TestACommitThatIsRefusedMayBeSentAgain has the primary fenced between the
@@ -134,7 +135,7 @@
 	fenced.Fence = 4
 	r, err := runOn(t, scriptedMember(t, script(accepted, []pgproto3.BackendMessage{refusal, idle}, stateRow(fenced))...))
 	g.Expect(err).NotTo(HaveOccurred())
-	g.Expect(r.refused).To(BeTrue())
+	g.Expect(r.Answer.Refused).To(BeTrue())
 	g.Expect(r.Committed.IsZero()).To(BeTrue(), "nothing was committed that could be confirmed")
 	g.Expect(r.Sent()).To(BeFalse())
 }
@@ -152,5 +153,5 @@
 	r, err := runUntil(t, scriptedMember(t), time.Now().Add(-time.Nanosecond))
 	g.Expect(fault.Of(err).Kind).To(Equal(fault.Undispatched))
 	g.Expect(fault.Of(err).Kind.Outcome()).To(Equal(fault.NotRun))
-	g.Expect(r.sends).To(BeZero())
+	g.Expect(r.Sent()).To(BeFalse())
 }
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -23,12 +23,9 @@
 type BasesOptions struct {
 	Base  BaseOptions
 	Books *Books
-	// Login returns how to reach a member for callers' work.
-	Login func(m view.Member) member.Login
-	// Connections is how many pooled connections each member gets, for reads
-	// and for writes together.
-	Connections int
-	IdleCheck   time.Duration
+	// Open returns the pool of connections to a member of a database for callers'
+	// work, and its clean-up function.
+	Open func(database string, m view.Member) (*member.Pool, func())
 	// Hosts is told of each new list of hosts.
 	Hosts func([]book.Host)
 }
@@ -109,9 +106,7 @@
 	key := poolKey{database: database, address: m.Address}
 	owned, found := b.pools[key]
 	if !found {
-		login := b.options.Login(m)
-		login.Database = database
-		owned.pool, owned.stop = member.NewPool(m.Address, login, b.options.Connections, b.options.IdleCheck)
+		owned.pool, owned.stop = b.options.Open(database, m)
 		b.pools[key] = owned
 	}
 	return owned.pool
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -1,20 +1,19 @@
-// Package front serves callers: it accepts their connections, logs them in
-// against the sheet, reads their requests and hands them to the filter chain.
+// Package front serves callers: it accepts their connections, bounds them by
+// rank, hands their requests to the filter chain, and lets them end when the proxy
+// leaves.
 //
 // A connection is a Session. It is idle, or it has one request in the chain, or
-// it holds a member's connection for its open transaction.
+// it holds a member's connection for its open transaction. What is spoken over it
+// is up to a Protocol.
 package front
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/jackc/pgx/v5/pgproto3"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"poplarrouter.example/poplarrouter/internal/chain"
@@ -27,9 +26,18 @@
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
+// Protocol is what callers speak.
+type Protocol interface {
+	// Serve serves a caller until it goes.
+	Serve(ctx context.Context, s *Session) error
+	// Refuse tells a caller that it is not served, or not any longer.
+	Refuse(conn net.Conn, err *fault.Error)
+}
+
 // Options are what a Front depends on.
 type Options struct {
-	Address string
+	Address  string
+	Protocol Protocol
 	// Connections bounds the callers connected at a time. Half as many again may
 	// be at their start-up message, of whom no rank is known.
 	Connections int
@@ -116,19 +124,18 @@
 	defer func() { _ = conn.Close() }()
 	s, err := f.admit(conn)
 	if err != nil {
-		refuse(conn, fault.Of(err))
+		f.refuse(conn, fault.Of(err))
 		return err
 	}
 	defer f.forget(s)
-	return s.serve(ctx)
+	err = f.options.Protocol.Serve(ctx, s)
+	s.Rollback()
+	f.options.Log.Emit(event.CallerClosed, event.Fields{"CallerID": s.Caller.ID, "Caller": s.Caller.Name})
+	return err
 }
 
 // refuse tells a caller that is not let in.
-func refuse(conn net.Conn, err *fault.Error) {
-	_ = conn.SetDeadline(time.Now().Add(loginTimeout))
-	raw, _ := fatal(err).Encode(nil)
-	_, _ = conn.Write(raw)
-}
+func (f *Front) refuse(conn net.Conn, err *fault.Error) { f.options.Protocol.Refuse(conn, err) }
 
 func (f *Front) admit(conn net.Conn) (*Session, error) {
 	f.mu.Lock()
@@ -141,7 +148,7 @@
 	}
 	f.nextID++
 	s := newSession(f, conn, f.nextID)
-	f.sessions[s.id] = s
+	f.sessions[s.Caller.ID] = s
 	f.counts.callers.Set(float64(len(f.sessions)))
 	return s, nil
 }
@@ -152,7 +159,7 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	delete(f.sessions, s.id)
+	delete(f.sessions, s.Caller.ID)
 	f.counts.callers.Set(float64(len(f.sessions)))
 }
 
@@ -168,7 +175,7 @@
 
 func (f *Front) closeAll() {
 	for _, s := range f.list() {
-		_ = s.conn.Close()
+		_ = s.Close()
 	}
 }
 
@@ -230,11 +237,3 @@
 	}
 	return false
 }
-
-const secretBytes = 4
-
-func newKey() *pgproto3.BackendKeyData {
-	raw := make([]byte, 2*secretBytes)
-	_, _ = rand.Read(raw)
-	return &pgproto3.BackendKeyData{ProcessID: binary.BigEndian.Uint32(raw), SecretKey: raw[secretBytes:]}
-}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -8,39 +8,31 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
-	"github.com/jackc/pgx/v5/pgproto3"
-
 	"poplarrouter.example/poplarrouter/internal/chain"
-	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
-	"poplarrouter.example/poplarrouter/internal/wire"
 	"poplarrouter.example/poplarrouter/pkg/fault"
-	"poplarrouter.example/poplarrouter/pkg/group"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
-// Session is one caller's connection.
+// Key is what a caller must present to cancel a session's request.
+type Key struct {
+	ProcessID uint32
+	Secret    []byte
+}
+
+// Session is one caller's connection, whatever its protocol.
 type Session struct {
-	front   *Front
-	id      uint64
-	conn    net.Conn
-	backend *pgproto3.Backend
-	out     *wire.Writer
-	collect *wire.Collector
-	key     *pgproto3.BackendKeyData
-	caller  chain.Caller
+	net.Conn
+	// Caller is who is connected. The protocol fills its names in.
+	Caller chain.Caller
 
+	front *Front
 	// rank is that of the place that the connection has taken, or 0.
-	rank     sheet.Rank
-	label    string
-	floor    group.Floor
-	token    bool
-	status   byte
-	skipping bool
+	rank sheet.Rank
 
 	mu      sync.Mutex
+	key     Key
 	active  bool
 	lease   *chain.Lease
 	running *chain.Lease
@@ -48,172 +40,72 @@
 }
 
 func newSession(f *Front, conn net.Conn, id uint64) *Session {
-	return &Session{
-		front:   f,
-		id:      id,
-		conn:    conn,
-		backend: pgproto3.NewBackend(conn, conn),
-		out:     wire.NewWriter(conn),
-		collect: wire.NewCollector(f.options.RequestBytes),
-		key:     newKey(),
-		caller:  chain.Caller{ID: id},
-		status:  wire.Idle,
-	}
+	return &Session{Conn: conn, front: f, Caller: chain.Caller{ID: id}}
 }
 
-// serve logs the caller in and answers its requests until it goes.
-func (s *Session) serve(ctx context.Context) error {
-	s.backend.SetMaxBodyLen(s.front.options.RequestBytes)
-	// The log-in needs a deep stack, which an idle session should not keep: it
-	// runs as a duty of its own.
-	if err := <-duty.Start(ctx, func(context.Context) error { return s.login() }); err != nil {
-		return s.denied(err)
+// Options returns the options of the session's front.
+func (s *Session) Options() Options { return s.front.options }
+
+// Cancel passes a cancel request on to the session that has the key, here or at
+// another proxy.
+func (s *Session) Cancel(processID uint32, secretKey []byte) {
+	if !s.front.Cancel(processID, secretKey) {
+		s.front.options.Forward(processID, secretKey)
 	}
-	log := s.front.options.Log
-	log.Emit(event.CallerAccepted, event.Fields{"CallerID": s.id, "Caller": s.caller.Name, "Service": s.caller.Service, "Kind": s.label})
-	err := s.loop(ctx)
-	s.rollback()
-	log.Emit(event.CallerClosed, event.Fields{"CallerID": s.id, "Caller": s.caller.Name})
-	return err
 }
 
-func (s *Session) denied(err error) error {
-	var cancelOnly cancelOnlyError
-	if errors.As(err, &cancelOnly) {
-		return nil
-	}
-	s.front.options.Log.Emit(event.CallerDenied, event.Fields{
-		"CallerID": s.id, "Caller": s.caller.Name, "Service": s.caller.Service, "Address": s.conn.RemoteAddr().String(), "Cause": err.Error(),
-	})
-	var known *fault.Error
-	if errors.As(err, &known) {
-		s.backend.Send(fatal(known))
-		_ = s.backend.Flush()
-	}
-	return err
+// SetKey sets the key by which the session's requests can be cancelled.
+func (s *Session) SetKey(key Key) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.key = key
 }
 
-func (s *Session) loop(ctx context.Context) error {
-	for {
-		message, err := s.backend.Receive()
-		if err != nil {
-			return s.broken(err)
-		}
-		if _, ends := message.(*pgproto3.Terminate); ends {
-			return nil
-		}
-		batch, err := s.collectMessage(message)
-		if err != nil {
-			return err
-		}
-		if batch == nil {
-			continue
-		}
-		if err := s.answer(ctx, batch); err != nil {
-			return err
-		}
-	}
+// Greeted logs that the caller was let in.
+func (s *Session) Greeted(kind string) {
+	s.front.options.Log.Emit(event.CallerAccepted, event.Fields{
+		"CallerID": s.Caller.ID, "Caller": s.Caller.Name, "Service": s.Caller.Service, "Kind": kind,
+	})
 }
 
-// broken tells a caller whose message could not be read why its connection ends.
-func (s *Session) broken(err error) error {
-	var oversized *pgproto3.ExceededMaxBodyLenErr
-	if errors.As(err, &oversized) {
-		s.out.Put(fatal(fault.Wrap(err, fault.Protocol, "read request", "got more than %d bytes in one message", s.front.options.RequestBytes)))
-		_ = s.out.Flush()
-	}
-	return err
+// Denied logs that the caller was not let in.
+func (s *Session) Denied(err error) {
+	s.front.options.Log.Emit(event.CallerDenied, event.Fields{
+		"CallerID": s.Caller.ID, "Caller": s.Caller.Name, "Service": s.Caller.Service, "Address": s.RemoteAddr().String(), "Cause": err.Error(),
+	})
 }
 
-// collectMessage adds a message to the batch. After a fault, messages are
-// skipped until the caller's next Sync, as the protocol asks.
-func (s *Session) collectMessage(message pgproto3.FrontendMessage) (*wire.Batch, error) {
-	if _, sync := message.(*pgproto3.Sync); s.skipping {
-		if !sync {
-			return nil, nil
-		}
-		s.skipping = false
-		s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
-		return nil, s.out.Flush()
+// TakePlace takes one of the places for callers whose work has a rank.
+func (s *Session) TakePlace(rank sheet.Rank) error {
+	if !s.front.options.Places.Take(rank) {
+		return fault.New(fault.Overloaded, "log in", "all connections for rank %d are taken", rank)
 	}
-	batch, err := s.collect.Add(message)
-	if err == nil {
-		return batch, nil
-	}
-	s.collect.Reset()
-	if s.lease != nil {
-		return nil, s.abort(fault.Of(err))
-	}
-	s.out.Put(errorResponse(fault.Of(err)))
-	if _, simple := message.(*pgproto3.Query); simple {
-		s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
-		return nil, s.out.Flush()
-	}
-	s.skipping = true
-	return nil, s.out.Flush()
+	s.rank = rank
+	return nil
 }
 
-// abort ends a connection whose open transaction cannot go on: the member rolls
-// it back when its connection closes.
-func (s *Session) abort(err *fault.Error) error {
-	s.out.Discard()
-	s.out.Put(fatal(err))
-	_ = s.out.Flush()
-	return err
+// Pinned tells whether a transaction is open.
+func (s *Session) Pinned() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease != nil
 }
 
-func (s *Session) answer(ctx context.Context, batch *wire.Batch) error {
-	if batch.Local != nil {
-		return s.answerLocal(batch)
-	}
-	if !s.begin() {
-		return s.abort(fault.New(fault.Leaving, "read request", "this proxy is leaving"))
-	}
-	defer s.end()
-	r := &chain.Request{
-		Caller:  s.caller,
-		Batch:   batch,
-		Out:     s.out,
-		Label:   s.label,
-		Floor:   s.floor,
-		Token:   s.token,
-		Arrived: time.Now(),
-		Lease:   s.lease,
-		Track:   s.track,
-	}
-	pinned := r.Lease != nil
+// Do sends a request through the chain, on the connection of the open transaction
+// if there is one. The fault of a request that failed has been logged.
+func (s *Session) Do(ctx context.Context, r *chain.Request) *fault.Error {
+	r.Caller, r.Track, r.Lease = s.Caller, s.track, s.leased()
 	err := s.front.options.Handler(ctx, r)
 	s.setLease(r.Lease)
 	s.count(r, err)
-	if err != nil {
-		return s.answerFault(r, fault.Of(err), pinned)
-	}
-	s.status = r.Answer.Status
-	s.raiseFloor(r.Committed)
-	return s.out.Flush()
-}
-
-// raiseFloor remembers the position of a confirmed write, and tells it to the
-// caller ahead of the answer's end that is still held back.
-func (s *Session) raiseFloor(committed group.Floor) {
-	if committed.IsZero() {
-		return
-	}
-	s.floor = committed
-	s.out.PutFirst(&pgproto3.ParameterStatus{Name: wire.FloorSetting, Value: committed.String()})
-}
-
-func (s *Session) answerFault(r *chain.Request, err *fault.Error, pinned bool) error {
-	chain.LogFault(s.front.options.Log, r, err)
-	honest := err.Kind.Outcome() == fault.Unknown || !r.Sent()
-	s.front.options.Guard.Assert(guard.HonestRefusal, honest, event.Fields{"CallerID": s.id, "Fault": err.Kind.String()})
-	if pinned && (err.Kind != fault.Unconfirmed || r.Lease != nil) {
-		return s.abort(err)
+	if err == nil {
+		return nil
 	}
-	s.status = wire.Idle
-	s.out.Put(errorResponse(err))
-	s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
-	return s.out.Flush()
+	known := fault.Of(err)
+	chain.LogFault(s.front.options.Log, r, known)
+	honest := known.Kind.Outcome() == fault.Unknown || !r.Sent()
+	s.front.options.Guard.Assert(guard.HonestRefusal, honest, event.Fields{"CallerID": s.Caller.ID, "Fault": known.Kind.String()})
+	return known
 }
 
 func (s *Session) count(r *chain.Request, err error) {
@@ -226,25 +118,8 @@
 	s.front.counts.seconds.WithLabelValues(rank).Observe(time.Since(r.Arrived).Seconds())
 }
 
-func (s *Session) answerLocal(batch *wire.Batch) error {
-	local := batch.Local
-	if batch.Executes() && !local.Show {
-		if err := s.set(local.Setting, local.Value); err != nil {
-			s.out.Put(errorResponse(fault.Of(err)))
-			s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
-			return s.out.Flush()
-		}
-	}
-	value := s.label
-	if local.Setting == wire.FloorSetting {
-		value = s.floor.String()
-	}
-	batch.AnswerLocal(s.out, value, s.status)
-	return s.out.Flush()
-}
-
-// begin marks the session as having a request in flight, unless it is ending.
-func (s *Session) begin() bool {
+// Begin marks the session as having a request in flight, unless it is ending.
+func (s *Session) Begin() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.ending {
@@ -254,7 +129,8 @@
 	return true
 }
 
-func (s *Session) end() {
+// End marks the end of a request.
+func (s *Session) End() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.active = false
@@ -268,6 +144,12 @@
 	s.running = l
 }
 
+func (s *Session) leased() *chain.Lease {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lease
+}
+
 func (s *Session) setLease(l *chain.Lease) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -289,20 +171,23 @@
 		return
 	}
 	s.ending = true
-	refuse(s.conn, fault.New(fault.Leaving, "wait for request", "this proxy is leaving"))
-	_ = s.conn.Close()
+	s.front.refuse(s.Conn, fault.New(fault.Leaving, "wait for request", "this proxy is leaving"))
+	_ = s.Close()
 }
 
-// rollback closes the member's connection of a transaction that was left open.
-func (s *Session) rollback() {
-	if l := s.lease; l != nil {
+// Rollback ends the open transaction, if there is one: its connection is closed,
+// on which the member rolls it back.
+func (s *Session) Rollback() {
+	if l := s.leased(); l != nil {
 		s.setLease(nil)
 		l.Release(false)
 	}
 }
 
 func (s *Session) holdsKey(processID uint32, secretKey []byte) bool {
-	return s.key.ProcessID == processID && subtle.ConstantTimeCompare(s.key.SecretKey, secretKey) == 1
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.key.Secret) > 0 && s.key.ProcessID == processID && subtle.ConstantTimeCompare(s.key.Secret, secretKey) == 1
 }
 
 const cancelTimeout = 2 * time.Second
@@ -323,5 +208,5 @@
 	ctx, stop := context.WithTimeout(context.Background(), cancelTimeout)
 	defer stop()
 	err := l.Cancel(ctx)
-	s.front.options.Log.Emit(event.CancelSent, event.Fields{"CallerID": s.id, "Member": l.Member.Name, "Done": err == nil})
+	s.front.options.Log.Emit(event.CancelSent, event.Fields{"CallerID": s.Caller.ID, "Member": l.Member.Name, "Done": err == nil})
 }
--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -11,7 +11,7 @@
 	"github.com/vmihailenco/msgpack/v5"
 
 	"poplarrouter.example/poplarrouter/internal/lablog"
-	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -151,7 +151,7 @@
 }
 
 // sendStatus answers one row that describes the member.
-func (s *session) sendStatus() { s.sendText(member.FormatState(s.member.State())) }
+func (s *session) sendStatus() { s.sendText(pgmem.FormatState(s.member.State())) }
 
 // sendText answers one row of one text.
 func (s *session) sendText(text string) {
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -17,9 +17,9 @@
 	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/config"
-	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/labdb"
 	"poplarrouter.example/poplarrouter/internal/labkv"
+	"poplarrouter.example/poplarrouter/internal/pgfrt"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/internal/view"
 )
@@ -182,7 +182,7 @@
 
 // Sheet returns the set's sheet.
 func Sheet() (string, error) {
-	verifier, err := front.Verifier(Password, "salt of the stand-in", 4096)
+	verifier, err := pgfrt.Verifier(Password, "salt of the stand-in", 4096)
 	if err != nil {
 		return "", err
 	}
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -12,9 +12,7 @@
 // Pool lends connections to one member. It holds at most a fixed number of
 // them, of both modes, lent and idle together.
 type Pool struct {
-	address string
-	login   Login
-	check   time.Duration
+	options PoolOptions
 	permits chan struct{}
 	// lending wakes the watch.
 	lending chan struct{}
@@ -29,11 +27,28 @@
 	era int
 }
 
-// NewPool returns a pool of at most limit connections, and its clean-up
-// function. A connection that idled for longer than check is tried before reuse.
-func NewPool(address string, login Login, limit int, check time.Duration) (*Pool, func()) {
-	p := &Pool{address: address, login: login, check: check, permits: make(chan struct{}, limit), lending: make(chan struct{}, 1), idle: make(map[Mode][]*Conn), lent: make(map[*Conn]struct{})}
-	stop := duty.Run(p.watch)
+// PoolOptions are what a Pool depends on.
+type PoolOptions struct {
+	// Address is the member's, for messages.
+	Address string
+	// Open opens a connection.
+	Open func(ctx context.Context, mode Mode) (Line, error)
+	// Control returns a control of the member, by which lent connections are
+	// found silent; nil stands for a protocol that cannot tell them.
+	Control func() Control
+	// Limit is how many connections the pool holds at most.
+	Limit int
+	// Check is how long a connection may idle before it is tried before reuse.
+	Check time.Duration
+}
+
+// NewPool returns a pool and its clean-up function.
+func NewPool(options PoolOptions) (*Pool, func()) {
+	p := &Pool{options: options, permits: make(chan struct{}, options.Limit), lending: make(chan struct{}, 1), idle: make(map[Mode][]*Conn), lent: make(map[*Conn]struct{})}
+	stop := func() {}
+	if options.Control != nil {
+		stop = duty.Run(p.watch)
+	}
 	return p, func() {
 		stop()
 		p.close()
@@ -51,7 +66,7 @@
 	c, err := p.take(ctx, mode)
 	if err != nil {
 		<-p.permits
-		return nil, fault.Wrap(err, fault.Unreachable, "get connection", "no connection to member %s", p.address)
+		return nil, fault.Wrap(err, fault.Unreachable, "get connection", "no connection to member %s", p.options.Address)
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -70,22 +85,21 @@
 		if !found {
 			break
 		}
-		if time.Since(c.idled) < p.check || p.alive(ctx, c) {
+		if time.Since(c.idled) < p.options.Check || p.alive(ctx, c) {
 			return c, nil
 		}
 		p.forget(c)
 		p.Silent()
 	}
 	era := p.makeRoom()
-	c, err := Dial(ctx, p.address, p.login, mode)
+	line, err := p.options.Open(ctx, mode)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
-	c.era = era
-	return c, nil
+	return &Conn{Line: line, mode: mode, era: era}, nil
 }
 
 // pop takes the connection that was returned last.
@@ -123,7 +137,7 @@
 	ctx, cancel := context.WithTimeout(ctx, checkTimeout)
 	defer cancel()
 	deadline, _ := ctx.Deadline()
-	if c.SetDeadline(deadline) != nil || c.trip() != nil {
+	if c.SetDeadline(deadline) != nil || c.Trip() != nil {
 		return false
 	}
 	return c.SetDeadline(time.Time{}) == nil
--- a/internal/member/silent.go
+++ b/internal/member/silent.go
@@ -2,9 +2,7 @@
 
 import (
 	"context"
-	"net"
 	"slices"
-	"sync/atomic"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/duty"
@@ -24,31 +22,11 @@
 	lookTimeout = 500 * time.Millisecond
 )
 
-// reading is a connection that knows since when a read has been waiting.
-type reading struct {
-	net.Conn
-	since atomic.Pointer[time.Time]
-}
-
-// Read implements net.Conn.
-func (r *reading) Read(p []byte) (int, error) {
-	now := time.Now()
-	r.since.Store(&now)
-	defer r.since.Store(nil)
-	return r.Conn.Read(p)
-}
-
-// waits tells whether a read has been waiting for at least a time.
-func (r *reading) waits(now time.Time, atLeast time.Duration) bool {
-	since := r.since.Load()
-	return since != nil && now.Sub(*since) >= atLeast
-}
-
 // watch is the duty that ends lent connections that went silent: an answer is
 // awaited on them which the member is not working on. Work is not kept waiting
 // for its deadline by a path that lost track of its connection.
 func (p *Pool) watch(ctx context.Context) error {
-	link := NewLink(p.address, p.login)
+	link := p.options.Control()
 	defer link.Close()
 	for ctx.Err() == nil {
 		select {
@@ -80,7 +58,7 @@
 	defer p.mu.Unlock()
 	var list []*Conn
 	for c := range p.lent {
-		if c.reading.waits(now, patience) {
+		if c.Waits(now, patience) {
 			list = append(list, c)
 			continue
 		}
@@ -94,7 +72,7 @@
 	defer cancel()
 	var ids []uint32
 	for _, c := range waiting {
-		ids = append(ids, c.ProcessID)
+		ids = append(ids, c.Number())
 	}
 	running, err := control.Running(ctx, ids)
 	if err != nil {
@@ -103,7 +81,7 @@
 	}
 	silent := false
 	for _, c := range waiting {
-		silent = p.judge(c, slices.Contains(running, c.ProcessID)) || silent
+		silent = p.judge(c, slices.Contains(running, c.Number())) || silent
 	}
 	if silent {
 		p.Silent()
@@ -114,7 +92,7 @@
 func (p *Pool) judge(c *Conn, running bool) bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, lent := p.lent[c]; !lent || running || !c.reading.waits(time.Now(), patience) {
+	if _, lent := p.lent[c]; !lent || running || !c.Waits(time.Now(), patience) {
 		c.quiet = 0
 		return false
 	}
--- a/internal/front/login.go
+++ b/internal/pgfrt/login.go
@@ -1,4 +1,4 @@
-package front
+package pgfrt
 
 import (
 	"encoding/base64"
@@ -30,8 +30,8 @@
 func (cancelOnlyError) Error() string { return "log in: the connection carried a cancel request" }
 
 // login reads the start-up messages, checks who the caller is, and greets it.
-func (s *Session) login() error {
-	if err := s.conn.SetDeadline(time.Now().Add(loginTimeout)); err != nil {
+func (s *session) login() error {
+	if err := s.SetDeadline(time.Now().Add(loginTimeout)); err != nil {
 		return err
 	}
 	start, err := s.readStartup()
@@ -47,10 +47,10 @@
 	if err := s.greet(); err != nil {
 		return err
 	}
-	return s.conn.SetDeadline(time.Time{})
+	return s.SetDeadline(time.Time{})
 }
 
-func (s *Session) readStartup() (*pgproto3.StartupMessage, error) {
+func (s *session) readStartup() (*pgproto3.StartupMessage, error) {
 	for range maxStartups {
 		message, err := s.backend.ReceiveStartupMessage()
 		if err != nil {
@@ -60,10 +60,10 @@
 		case *pgproto3.StartupMessage:
 			return start, nil
 		case *pgproto3.CancelRequest:
-			s.front.takeCancel(start)
+			s.Cancel(start.ProcessID, start.SecretKey)
 			return nil, cancelOnlyError{}
 		default:
-			if _, err := s.conn.Write([]byte("N")); err != nil {
+			if _, err := s.Write([]byte("N")); err != nil {
 				return nil, err
 			}
 		}
@@ -71,23 +71,17 @@
 	return nil, fault.New(fault.Protocol, "log in", "got %d requests for encryption, want a start-up message", maxStartups)
 }
 
-func (f *Front) takeCancel(request *pgproto3.CancelRequest) {
-	if !f.Cancel(request.ProcessID, request.SecretKey) {
-		f.options.Forward(request.ProcessID, request.SecretKey)
-	}
-}
-
 // identify checks that the sheet allows the caller on the service, before any
 // member is touched, and reads the settings that it gave.
-func (s *Session) identify(start *pgproto3.StartupMessage) error {
-	s.caller.Name = start.Parameters["user"]
-	s.caller.Service = start.Parameters["database"]
-	if s.caller.Service == "" {
-		s.caller.Service = s.caller.Name
+func (s *session) identify(start *pgproto3.StartupMessage) error {
+	s.Caller.Name = start.Parameters["user"]
+	s.Caller.Service = start.Parameters["database"]
+	if s.Caller.Service == "" {
+		s.Caller.Service = s.Caller.Name
 	}
-	rows, allowed := s.front.options.Books.Book().Sheet().Access(s.caller.Service, s.caller.Name)
+	rows, allowed := s.Options().Books.Book().Sheet().Access(s.Caller.Service, s.Caller.Name)
 	if !allowed {
-		return fault.New(fault.Denied, "log in", "caller %q is not allowed on service %q", s.caller.Name, s.caller.Service)
+		return fault.New(fault.Denied, "log in", "caller %q is not allowed on service %q", s.Caller.Name, s.Caller.Service)
 	}
 	for name, value := range start.Parameters {
 		if err := s.set(name, value); err != nil {
@@ -103,21 +97,17 @@
 // takePlace takes a place of the rank of the kind of work that the caller named at
 // its start, or of its least urgent kind. A kind that the sheet does not list is
 // refused with the first request.
-func (s *Session) takePlace(rows []sheet.Row) error {
+func (s *session) takePlace(rows []sheet.Row) error {
 	work, listed := sheet.Work(rows, s.label)
 	if !listed {
 		work, _ = sheet.Work(rows, "")
 	}
-	if !s.front.options.Places.Take(work.Rank) {
-		return fault.New(fault.Overloaded, "log in", "all connections for rank %d are taken", work.Rank)
-	}
-	s.rank = work.Rank
-	return nil
+	return s.TakePlace(work.Rank)
 }
 
 // readOptions reads the proxy's settings out of a start-up option such as
 // "-c poplarrouter.kind=stock". Others are left to the member's defaults.
-func (s *Session) readOptions(options string) error {
+func (s *session) readOptions(options string) error {
 	for field := range strings.FieldsSeq(strings.ReplaceAll(options, "-c ", "-c")) {
 		name, value, found := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(field, "--"), "-c"), "=")
 		if !found {
@@ -131,7 +121,7 @@
 }
 
 // set takes one of the proxy's settings; others are ignored.
-func (s *Session) set(name, value string) error {
+func (s *session) set(name, value string) error {
 	switch strings.ToLower(name) {
 	case wire.LabelSetting:
 		s.label = value
@@ -150,8 +140,8 @@
 }
 
 // authenticate runs a SCRAM exchange against the verifier in the sheet.
-func (s *Session) authenticate() error {
-	secret, _ := s.front.options.Books.Book().Sheet().Secret(s.caller.Name)
+func (s *session) authenticate() error {
+	secret, _ := s.Options().Books.Book().Sheet().Secret(s.Caller.Name)
 	credentials, err := parseVerifier(secret)
 	if err != nil {
 		return err
@@ -167,9 +157,9 @@
 	return s.converse(server.NewConversation())
 }
 
-func (s *Session) converse(conversation *scram.ServerConversation) error {
+func (s *session) converse(conversation *scram.ServerConversation) error {
 	denied := func(cause error) error {
-		return fault.Wrap(cause, fault.Denied, "log in", "password authentication failed for caller %q", s.caller.Name)
+		return fault.Wrap(cause, fault.Denied, "log in", "password authentication failed for caller %q", s.Caller.Name)
 	}
 	first, err := receiveAs[*pgproto3.SASLInitialResponse](s.backend, pgproto3.AuthTypeSASL)
 	if err != nil {
@@ -257,7 +247,7 @@
 
 // greet ends the log-in. The caller learns its cancel key, and the settings that
 // drivers expect of a server.
-func (s *Session) greet() error {
+func (s *session) greet() error {
 	s.backend.Send(&pgproto3.AuthenticationOk{})
 	for _, status := range []pgproto3.ParameterStatus{
 		{Name: "server_version", Value: "16.0"},
--- /dev/null
+++ b/internal/pgfrt/pgfrt.go
@@ -0,0 +1,222 @@
+// Package pgfrt serves callers over the PostgreSQL protocol: it logs them in
+// against the sheet, reads their requests and hands them to the filter chain.
+package pgfrt
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/pgrun"
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// Protocol is the PostgreSQL protocol with callers.
+type Protocol struct{}
+
+var _ front.Protocol = Protocol{}
+
+// Refuse implements front.Protocol.
+func (Protocol) Refuse(conn net.Conn, err *fault.Error) {
+	_ = conn.SetDeadline(time.Now().Add(loginTimeout))
+	raw, _ := fatal(err).Encode(nil)
+	_, _ = conn.Write(raw)
+}
+
+// Serve implements front.Protocol.
+func (Protocol) Serve(ctx context.Context, base *front.Session) error {
+	s := &session{
+		Session: base,
+		backend: pgproto3.NewBackend(base.Conn, base.Conn),
+		out:     wire.NewWriter(base.Conn),
+		collect: wire.NewCollector(base.Options().RequestBytes),
+		key:     newKey(),
+		status:  wire.Idle,
+	}
+	base.SetKey(front.Key{ProcessID: s.key.ProcessID, Secret: s.key.SecretKey})
+	return s.serve(ctx)
+}
+
+const secretBytes = 4
+
+func newKey() *pgproto3.BackendKeyData {
+	raw := make([]byte, 2*secretBytes)
+	_, _ = rand.Read(raw)
+	return &pgproto3.BackendKeyData{ProcessID: binary.BigEndian.Uint32(raw), SecretKey: raw[secretBytes:]}
+}
+
+// session is one caller's connection.
+type session struct {
+	*front.Session
+	backend *pgproto3.Backend
+	out     *wire.Writer
+	collect *wire.Collector
+	key     *pgproto3.BackendKeyData
+
+	label    string
+	floor    group.Floor
+	token    bool
+	status   byte
+	skipping bool
+}
+
+// serve logs the caller in and answers its requests until it goes.
+func (s *session) serve(ctx context.Context) error {
+	s.backend.SetMaxBodyLen(s.Options().RequestBytes)
+	// The log-in needs a deep stack, which an idle session should not keep: it
+	// runs as a duty of its own.
+	if err := <-duty.Start(ctx, func(context.Context) error { return s.login() }); err != nil {
+		return s.denied(err)
+	}
+	s.Greeted(s.label)
+	return s.loop(ctx)
+}
+
+func (s *session) denied(err error) error {
+	var cancelOnly cancelOnlyError
+	if errors.As(err, &cancelOnly) {
+		return nil
+	}
+	s.Denied(err)
+	var known *fault.Error
+	if errors.As(err, &known) {
+		s.backend.Send(fatal(known))
+		_ = s.backend.Flush()
+	}
+	return err
+}
+
+func (s *session) loop(ctx context.Context) error {
+	for {
+		message, err := s.backend.Receive()
+		if err != nil {
+			return s.broken(err)
+		}
+		if _, ends := message.(*pgproto3.Terminate); ends {
+			return nil
+		}
+		batch, err := s.collectMessage(message)
+		if err != nil {
+			return err
+		}
+		if batch == nil {
+			continue
+		}
+		if err := s.answer(ctx, batch); err != nil {
+			return err
+		}
+	}
+}
+
+// broken tells a caller whose message could not be read why its connection ends.
+func (s *session) broken(err error) error {
+	var oversized *pgproto3.ExceededMaxBodyLenErr
+	if errors.As(err, &oversized) {
+		s.out.Put(fatal(fault.Wrap(err, fault.Protocol, "read request", "got more than %d bytes in one message", s.Options().RequestBytes)))
+		_ = s.out.Flush()
+	}
+	return err
+}
+
+// collectMessage adds a message to the batch. After a fault, messages are
+// skipped until the caller's next Sync, as the protocol asks.
+func (s *session) collectMessage(message pgproto3.FrontendMessage) (*wire.Batch, error) {
+	if _, sync := message.(*pgproto3.Sync); s.skipping {
+		if !sync {
+			return nil, nil
+		}
+		s.skipping = false
+		s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
+		return nil, s.out.Flush()
+	}
+	batch, err := s.collect.Add(message)
+	if err == nil {
+		return batch, nil
+	}
+	s.collect.Reset()
+	if s.Pinned() {
+		return nil, s.abort(fault.Of(err))
+	}
+	s.out.Put(errorResponse(fault.Of(err)))
+	if _, simple := message.(*pgproto3.Query); simple {
+		s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
+		return nil, s.out.Flush()
+	}
+	s.skipping = true
+	return nil, s.out.Flush()
+}
+
+// abort ends a connection whose open transaction cannot go on: the member rolls
+// it back when its connection closes.
+func (s *session) abort(err *fault.Error) error {
+	s.out.Discard()
+	s.out.Put(fatal(err))
+	_ = s.out.Flush()
+	return err
+}
+
+func (s *session) answer(ctx context.Context, batch *wire.Batch) error {
+	if batch.Local != nil {
+		return s.answerLocal(batch)
+	}
+	if !s.Begin() {
+		return s.abort(fault.New(fault.Leaving, "read request", "this proxy is leaving"))
+	}
+	defer s.End()
+	x := pgrun.New(batch, s.out)
+	r := &chain.Request{Exchange: x, Label: s.label, Floor: s.floor, Token: s.token, Arrived: time.Now()}
+	pinned := s.Pinned()
+	if err := s.Do(ctx, r); err != nil {
+		return s.answerFault(r, err, pinned)
+	}
+	s.status = x.Status()
+	s.raiseFloor(r.Committed)
+	return s.out.Flush()
+}
+
+// raiseFloor remembers the position of a confirmed write, and tells it to the
+// caller ahead of the answer's end that is still held back.
+func (s *session) raiseFloor(committed group.Floor) {
+	if committed.IsZero() {
+		return
+	}
+	s.floor = committed
+	s.out.PutFirst(&pgproto3.ParameterStatus{Name: wire.FloorSetting, Value: committed.String()})
+}
+
+func (s *session) answerFault(r *chain.Request, err *fault.Error, pinned bool) error {
+	if pinned && (err.Kind != fault.Unconfirmed || r.Lease != nil) {
+		return s.abort(err)
+	}
+	s.status = wire.Idle
+	s.out.Put(errorResponse(err))
+	s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
+	return s.out.Flush()
+}
+
+func (s *session) answerLocal(batch *wire.Batch) error {
+	local := batch.Local
+	if batch.Executes() && !local.Show {
+		if err := s.set(local.Setting, local.Value); err != nil {
+			s.out.Put(errorResponse(fault.Of(err)))
+			s.out.Put(&pgproto3.ReadyForQuery{TxStatus: s.status})
+			return s.out.Flush()
+		}
+	}
+	value := s.label
+	if local.Setting == wire.FloorSetting {
+		value = s.floor.String()
+	}
+	batch.AnswerLocal(s.out, value, s.status)
+	return s.out.Flush()
+}
--- a/internal/member/control_test.go
+++ b/internal/pgmem/control_test.go
@@ -1,4 +1,4 @@
-package member_test
+package pgmem_test
 
 import (
 	"context"
@@ -10,6 +10,7 @@
 
 	"poplarrouter.example/poplarrouter/internal/labdb"
 	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
 )
 
 // Only an address at which nothing listens refuses. One that closes what it
@@ -18,7 +19,7 @@
 	g := NewWithT(t)
 	target, cleanUp, err := labdb.New(labdb.Options{Address: "127.0.0.1:0"})
 	g.Expect(err).NotTo(HaveOccurred())
-	link := member.NewLink(target.Address(), member.Login{User: "u"})
+	link := pgmem.NewLink(target.Address(), pgmem.Login{User: "u"})
 	defer link.Close()
 	_, err = link.Ask(t.Context())
 	g.Expect(err).NotTo(HaveOccurred())
@@ -37,7 +38,7 @@
 			_ = conn.Close()
 		}
 	}()
-	_, err = member.NewLink(closing.Addr().String(), member.Login{User: "u"}).Ask(t.Context())
+	_, err = pgmem.NewLink(closing.Addr().String(), pgmem.Login{User: "u"}).Ask(t.Context())
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(member.Refuses(err)).To(BeFalse())
 
@@ -46,7 +47,7 @@
 	defer func() { _ = silent.Close() }()
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = member.NewLink(silent.Addr().String(), member.Login{User: "u"}).Ask(short)
+	_, err = pgmem.NewLink(silent.Addr().String(), pgmem.Login{User: "u"}).Ask(short)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(member.Refuses(err)).To(BeFalse())
 }
--- /dev/null
+++ b/internal/pgmem/link.go
@@ -0,0 +1,224 @@
+package pgmem
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"strconv"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jackc/pgx/v5/pgconn"
+
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// StatusQuery asks a member for its state. Its one row has one column, a text of
+// words: role, term, fence, entry term, received, applied, active, dispatcher
+// ("-" for none) and the starts of terms ("-" for none). One short column keeps
+// the answer small, since it is asked for often.
+const StatusQuery = "SELECT poplar_status()"
+
+const statusWords = 9
+
+// Link is a member.Control over one connection, opened when it is needed and closed
+// after any failure. It is not for concurrent use.
+type Link struct {
+	address string
+	login   Login
+	conn    *pgconn.PgConn
+	status  *pgconn.StatementDescription
+}
+
+var _ member.Control = (*Link)(nil)
+
+// NewLink returns a link to the member at address (IP:port).
+func NewLink(address string, login Login) *Link {
+	return &Link{address: address, login: login}
+}
+
+// Ask implements member.Control. The question is prepared once for each connection, so
+// that its answer comes without a description.
+func (l *Link) Ask(ctx context.Context) (group.State, error) {
+	if err := l.connect(ctx); err != nil {
+		return group.State{}, err
+	}
+	if l.status == nil {
+		prepared, err := l.conn.Prepare(ctx, "s", StatusQuery, nil)
+		if err != nil {
+			l.Close()
+			return group.State{}, err
+		}
+		l.status = prepared
+	}
+	result := l.conn.ExecStatement(ctx, l.status, nil, nil, nil).Read()
+	if result.Err != nil {
+		l.Close()
+		return group.State{}, result.Err
+	}
+	text, err := oneText(result)
+	if err != nil {
+		return group.State{}, err
+	}
+	return ParseState(text)
+}
+
+// Fence implements member.Control.
+func (l *Link) Fence(ctx context.Context, term group.Term, promoter string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_fence(%d, '%s')", term, promoter))
+}
+
+// Promote implements member.Control.
+func (l *Link) Promote(ctx context.Context, term group.Term, promoter string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_promote(%d, '%s')", term, promoter))
+}
+
+// Follow implements member.Control.
+func (l *Link) Follow(ctx context.Context, term group.Term, leader string, starts []group.Start) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_follow(%d, '%s', '%s')", term, leader, group.FormatStarts(starts)))
+}
+
+// Lead implements member.Control.
+func (l *Link) Lead(ctx context.Context, host string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_lead('%s')", host))
+}
+
+// Evict implements member.Control.
+func (l *Link) Evict(ctx context.Context, host string) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_evict('%s')", host))
+}
+
+// Busy implements member.Control.
+func (l *Link) Busy(ctx context.Context, host string) (int, error) {
+	text, err := l.queryText(ctx, fmt.Sprintf("SELECT poplar_busy('%s')", host))
+	if err != nil {
+		return 0, err
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil {
+		return 0, &member.StatusError{Got: strconv.Quote(text), Want: "a number"}
+	}
+	return count, nil
+}
+
+// Running implements member.Control.
+func (l *Link) Running(ctx context.Context, processIDs []uint32) ([]uint32, error) {
+	var words []string
+	for _, id := range processIDs {
+		words = append(words, strconv.FormatUint(uint64(id), 10))
+	}
+	text, err := l.queryText(ctx, fmt.Sprintf("SELECT poplar_running('%s')", strings.Join(words, " ")))
+	if err != nil {
+		return nil, err
+	}
+	var running []uint32
+	for _, word := range strings.Fields(text) {
+		id, err := strconv.ParseUint(word, 10, 32)
+		if err != nil {
+			return nil, &member.StatusError{Got: strconv.Quote(word), Want: "a process ID"}
+		}
+		running = append(running, uint32(id))
+	}
+	return running, nil
+}
+
+// Close implements member.Control.
+func (l *Link) Close() {
+	if l.conn != nil {
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_ = l.conn.Close(ctx)
+		l.conn, l.status = nil, nil
+	}
+}
+
+func (l *Link) query(ctx context.Context, text string) (group.State, error) {
+	answer, err := l.queryText(ctx, text)
+	if err != nil {
+		return group.State{}, err
+	}
+	return ParseState(answer)
+}
+
+// queryText runs a statement whose answer is one text.
+func (l *Link) queryText(ctx context.Context, text string) (string, error) {
+	if err := l.connect(ctx); err != nil {
+		return "", err
+	}
+	results, err := l.conn.Exec(ctx, text).ReadAll()
+	var refusal *pgconn.PgError
+	if errors.As(err, &refusal) {
+		return "", &member.RefusedError{Member: l.address, Text: refusal.Message}
+	}
+	if err != nil {
+		l.Close()
+		return "", err
+	}
+	if len(results) != 1 {
+		return "", &member.StatusError{Got: fmt.Sprintf("%d results", len(results)), Want: "one"}
+	}
+	return oneText(results[0])
+}
+
+func oneText(result *pgconn.Result) (string, error) {
+	if len(result.Rows) != 1 || len(result.Rows[0]) != 1 {
+		return "", &member.StatusError{Got: "no row", Want: "one row of one column"}
+	}
+	return string(result.Rows[0][0]), nil
+}
+
+func (l *Link) connect(ctx context.Context) error {
+	if l.conn != nil && !l.conn.IsClosed() {
+		return nil
+	}
+	config, err := l.login.config(l.address)
+	if err != nil {
+		return err
+	}
+	l.conn, err = pgconn.ConnectConfig(ctx, config)
+	return err
+}
+
+// none stands for an empty word in a state's text.
+const none = "-"
+
+// FormatState writes a state as members answer it.
+func FormatState(s group.State) string {
+	return fmt.Sprintf("%s %d %d %d %d %d %d %s %s", s.Role, s.Term, s.Fence, s.EntryTerm, s.Received, s.Applied, s.Active,
+		cmp.Or(s.Dispatcher, none), cmp.Or(group.FormatStarts(s.Starts), none))
+}
+
+// ParseState reads what FormatState writes.
+func ParseState(text string) (group.State, error) {
+	words := strings.Fields(text)
+	if len(words) != statusWords {
+		return group.State{}, &member.StatusError{Got: fmt.Sprintf("%d words", len(words)), Want: fmt.Sprint(statusWords)}
+	}
+	s := group.State{Dispatcher: strings.TrimPrefix(words[7], none)}
+	switch words[0] {
+	case "primary":
+		s.Role = group.Primary
+	case "replica":
+		s.Role = group.Replica
+	default:
+		return group.State{}, &member.StatusError{Got: strconv.Quote(words[0]), Want: "primary or replica"}
+	}
+	var numbers [6]uint64
+	for i := range numbers {
+		n, err := strconv.ParseUint(words[i+1], 10, 63)
+		if err != nil {
+			return group.State{}, &member.StatusError{Got: strconv.Quote(words[i+1]), Want: "a number"}
+		}
+		numbers[i] = n
+	}
+	s.Term, s.Fence, s.EntryTerm = group.Term(numbers[0]), group.Term(numbers[1]), group.Term(numbers[2])
+	s.Received, s.Applied = group.Position(numbers[3]), group.Position(numbers[4])
+	s.Active = int(numbers[5]) //nolint:gosec // parsed as 63 bits
+	if words[8] == none {
+		return s, nil
+	}
+	starts, err := group.ParseStarts(words[8])
+	s.Starts = starts
+	return s, err
+}
--- /dev/null
+++ b/internal/pgmem/pgmem.go
@@ -0,0 +1,183 @@
+// Package pgmem reaches members over the PostgreSQL protocol: a Link is the
+// control connection of one member, and a Conn one pooled connection.
+package pgmem
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/jackc/pgx/v5/pgconn"
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/internal/member"
+)
+
+// DialFunc opens a TCP connection.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Login is how the proxy reaches and logs in at members.
+type Login struct {
+	User     string
+	Password string
+	// Database is the name that members know the database by.
+	Database string
+	// Host is the proxy's own name, by which a member tells the connections of one
+	// proxy from those of others.
+	Host string
+	// Dial opens connections; nil stands for a plain one.
+	Dial DialFunc
+}
+
+// config returns what a connection to address (IP:port) needs.
+func (l Login) config(address string) (*pgconn.Config, error) {
+	c, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", address))
+	if err != nil {
+		return nil, err
+	}
+	c.User, c.Password, c.Database = l.User, l.Password, l.Database
+	c.RuntimeParams["application_name"] = l.Host
+	c.Fallbacks = nil
+	if l.Dial != nil {
+		c.DialFunc = pgconn.DialFunc(l.Dial)
+	}
+	return c, nil
+}
+
+// Conn is a logged-in connection to a member.
+type Conn struct {
+	*pgproto3.Frontend
+	net.Conn
+	// ProcessID and SecretKey allow a cancel request for this connection.
+	ProcessID uint32
+	SecretKey []byte
+	// Prepared holds the names of the statements prepared on this connection.
+	Prepared map[string]struct{}
+
+	address string
+	reading *reading
+}
+
+var _ member.Line = (*Conn)(nil)
+
+// NewPool returns a pool of at most limit connections to the member at address
+// (IP:port), and its clean-up function. A connection that idled for longer than
+// check is tried before reuse.
+func NewPool(address string, login Login, limit int, check time.Duration) (*member.Pool, func()) {
+	return member.NewPool(member.PoolOptions{
+		Address: address,
+		Open: func(ctx context.Context, mode member.Mode) (member.Line, error) {
+			return Dial(ctx, address, login, mode)
+		},
+		Control: func() member.Control { return NewLink(address, login) },
+		Limit:   limit,
+		Check:   check,
+	})
+}
+
+// Dial opens a connection. The context bounds the whole of it.
+func Dial(ctx context.Context, address string, login Login, mode member.Mode) (*Conn, error) {
+	config, err := login.config(address)
+	if err != nil {
+		return nil, err
+	}
+	if mode == member.ReadOnly {
+		config.RuntimeParams["options"] = "-c default_transaction_read_only=on"
+	}
+	r := &reading{}
+	dial := config.DialFunc
+	config.DialFunc = func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil {
+			return nil, err
+		}
+		r.Conn = conn
+		return r, nil
+	}
+	raw, err := pgconn.ConnectConfig(ctx, config)
+	if err != nil {
+		return nil, err
+	}
+	h, err := raw.Hijack()
+	if err != nil {
+		return nil, err
+	}
+	if err := h.Conn.SetDeadline(time.Time{}); err != nil {
+		_ = h.Conn.Close()
+		return nil, err
+	}
+	return &Conn{
+		Frontend:  h.Frontend,
+		Conn:      h.Conn,
+		ProcessID: h.PID,
+		SecretKey: h.SecretKey,
+		Prepared:  make(map[string]struct{}),
+		address:   address,
+		reading:   r,
+	}, nil
+}
+
+// Number implements member.Line: it is the process ID.
+func (c *Conn) Number() uint32 { return c.ProcessID }
+
+// Waits implements member.Line.
+func (c *Conn) Waits(now time.Time, atLeast time.Duration) bool { return c.reading.waits(now, atLeast) }
+
+// Cancel implements member.Line. It waits until the member has taken the request.
+func (c *Conn) Cancel(ctx context.Context) error {
+	var d net.Dialer
+	conn, err := d.DialContext(ctx, "tcp", c.address)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = conn.Close() }()
+	if deadline, set := ctx.Deadline(); set {
+		_ = conn.SetDeadline(deadline)
+	}
+	f := pgproto3.NewFrontend(conn, conn)
+	f.Send(&pgproto3.CancelRequest{ProcessID: c.ProcessID, SecretKey: c.SecretKey})
+	if err := f.Flush(); err != nil {
+		return err
+	}
+	_, _ = conn.Read(make([]byte, 1))
+	return nil
+}
+
+// Trip implements member.Line: it sends a Sync and waits for its answer.
+func (c *Conn) Trip() error {
+	c.Send(&pgproto3.Sync{})
+	if err := c.Flush(); err != nil {
+		return err
+	}
+	for {
+		message, err := c.Receive()
+		if err != nil {
+			return err
+		}
+		if _, ready := message.(*pgproto3.ReadyForQuery); ready {
+			return nil
+		}
+	}
+}
+
+// reading is a connection that knows since when a read has been waiting.
+type reading struct {
+	net.Conn
+	since atomic.Pointer[time.Time]
+}
+
+// Read implements net.Conn.
+func (r *reading) Read(p []byte) (int, error) {
+	now := time.Now()
+	r.since.Store(&now)
+	defer r.since.Store(nil)
+	return r.Conn.Read(p)
+}
+
+// waits tells whether a read has been waiting for at least a time.
+func (r *reading) waits(now time.Time, atLeast time.Duration) bool {
+	since := r.since.Load()
+	return since != nil && now.Sub(*since) >= atLeast
+}
--- a/internal/member/pool_test.go
+++ b/internal/pgmem/pool_test.go
@@ -1,4 +1,4 @@
-package member_test
+package pgmem_test
 
 import (
 	"context"
@@ -13,6 +13,7 @@
 
 	"poplarrouter.example/poplarrouter/internal/labdb"
 	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
@@ -100,7 +101,7 @@
 	}
 	t.Cleanup(cleanUp)
 	p := newPath(t, m.Address())
-	pool, closePool := member.NewPool(p.listener.Addr().String(), member.Login{User: "proxy", Database: "d"}, poolSize, check)
+	pool, closePool := pgmem.NewPool(p.listener.Addr().String(), pgmem.Login{User: "proxy", Database: "d"}, poolSize, check)
 	t.Cleanup(closePool)
 	return pool, p
 }
@@ -164,7 +165,7 @@
 		c, err := pool.Get(context.Background(), member.ReadWrite)
 		g.Expect(err).NotTo(HaveOccurred())
 		pool.Put(c, spoil(c))
-		_, err = c.Read(make([]byte, 1))
+		_, err = pg(c).Read(make([]byte, 1))
 		g.Expect(err).To(MatchError(net.ErrClosed))
 	}
 	lent, idle := pool.Counts()
@@ -175,25 +176,28 @@
 	f.Add("primary 3 3 3 120 120 0 host-1 1:0,3:100")
 	f.Add("replica 1 0 0 0 0 0 - -")
 	f.Fuzz(func(t *testing.T, text string) {
-		s, err := member.ParseState(text)
+		s, err := pgmem.ParseState(text)
 		if err != nil {
 			return
 		}
-		again, err := member.ParseState(member.FormatState(s))
+		again, err := pgmem.ParseState(pgmem.FormatState(s))
 		if err != nil || again.Log() != s.Log() || again.Fence != s.Fence {
 			t.Fatalf("state %q: got %v after a round trip, want %v (%v)", text, again, s, err)
 		}
 	})
 }
 
+// pg returns the connection of the protocol.
+func pg(c *member.Conn) *pgmem.Conn { return c.Line.(*pgmem.Conn) }
+
 // ask sends a statement and waits for the end of its answer.
 func ask(c *member.Conn, text string) error {
-	c.Send(&pgproto3.Query{String: text})
-	if err := c.Flush(); err != nil {
+	pg(c).Send(&pgproto3.Query{String: text})
+	if err := pg(c).Flush(); err != nil {
 		return err
 	}
 	for {
-		message, err := c.Receive()
+		message, err := pg(c).Receive()
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/pgrun/pgrun.go
@@ -0,0 +1,116 @@
+// Package pgrun runs the requests of callers on members over the PostgreSQL
+// protocol.
+//
+// A request is a batch. If it may write, a question for the member's position
+// follows it, and the end of the answer is held back until the position is
+// confirmed.
+package pgrun
+
+import (
+	"time"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
+	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+// Exchange is a batch of a caller with its answer.
+type Exchange struct {
+	*wire.Writer
+	batch  *wire.Batch
+	answer wire.Answer
+}
+
+var _ chain.Exchange = (*Exchange)(nil)
+
+// New returns the exchange of a batch whose answer goes to a writer.
+func New(batch *wire.Batch, to *wire.Writer) *Exchange { return &Exchange{Writer: to, batch: batch} }
+
+// Status returns the transaction state behind the batch.
+func (x *Exchange) Status() byte { return x.answer.Status }
+
+// Access implements chain.Exchange.
+func (x *Exchange) Access(listed sheet.Access) sheet.Access {
+	if x.batch.BeginsReadOnly() {
+		return sheet.Read
+	}
+	return listed
+}
+
+// Run implements chain.Exchange.
+func (x *Exchange) Run(line member.Line, o chain.Order) (chain.Answer, error) {
+	conn := line.(*pgmem.Conn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
+	raw, plan := x.batch.Encode(conn.Prepared)
+	if o.Write {
+		raw = appendStatus(raw)
+	}
+	if _, err := conn.Write(raw); err != nil {
+		return chain.Answer{}, fault.Wrap(err, fault.Severed, "send", "the connection to the member ended while the work was sent")
+	}
+	return x.receive(conn, plan, o)
+}
+
+func appendStatus(raw []byte) []byte {
+	raw, _ = (&pgproto3.Query{String: pgmem.StatusQuery}).Encode(raw)
+	return raw
+}
+
+func (x *Exchange) receive(conn *pgmem.Conn, plan *wire.Plan, o chain.Order) (chain.Answer, error) {
+	limit := 0
+	if o.Write {
+		limit = o.HeldBytes
+	}
+	x.Begin()
+	x.SetDeadline(o.Deadline)
+	defer x.SetDeadline(time.Time{})
+	answer, err := wire.Relay(conn.Frontend, x.Writer, plan, conn.Prepared, limit)
+	x.answer = answer
+	result := chain.Answer{Idle: answer.Status == wire.Idle, Whole: answer.Whole, Dirty: answer.Dirty}
+	if err != nil {
+		return result, err
+	}
+	result.Refused = o.Write && !o.Pinned && !x.Sent() && refusedAsReplica(x.batch, answer)
+	if o.Write {
+		result.Committed, err = x.readPosition(conn, result)
+	}
+	return result, err
+}
+
+// readOnlyState is the SQLSTATE by which a member refuses a write because it is
+// a replica, or promised a later term.
+const readOnlyState = "25006"
+
+// refusedAsReplica tells whether a write was refused because the member is not
+// the primary, with nothing of it in effect: no statement completed, or the only
+// one did and its commit, which comes after it, was refused.
+func refusedAsReplica(b *wire.Batch, a wire.Answer) bool {
+	nothing := a.Completed == 0 || (a.Completed == 1 && b.Single())
+	return a.Refusal == readOnlyState && nothing && a.Status == wire.Idle
+}
+
+// readPosition reads the member's position after the batch. Outside a
+// transaction it is at or past everything that the batch committed. A batch that
+// was refused committed nothing, and has no position to confirm.
+func (x *Exchange) readPosition(conn *pgmem.Conn, result chain.Answer) (group.Floor, error) {
+	row, err := wire.ReadRow(conn.Frontend)
+	if err != nil {
+		return group.Floor{}, err
+	}
+	if result.Refused || !result.Idle || x.answer.Completed == 0 {
+		return group.Floor{}, nil
+	}
+	if len(row) != 1 {
+		return group.Floor{}, fault.New(fault.Unconfirmed, "confirm", "the member told no position behind the write")
+	}
+	state, err := pgmem.ParseState(string(row[0]))
+	if err != nil || state.Role != group.Primary {
+		return group.Floor{}, fault.Wrap(err, fault.Unconfirmed, "confirm", "the member told no position behind the write")
+	}
+	return group.Floor{Term: state.Term, Position: state.Received}, nil
+}
--- a/internal/trial/process_test.go
+++ b/internal/trial/process_test.go
@@ -22,7 +22,7 @@
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/labset"
-	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/pgmem"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -290,9 +290,9 @@
 	conn, err := pgx.Connect(context.Background(), "postgres://caller@"+m.address+"/stock?sslmode=disable")
 	s.Expect(err).NotTo(HaveOccurred())
 	defer func() { _ = conn.Close(context.Background()) }()
-	results, err := conn.PgConn().Exec(context.Background(), member.StatusQuery).ReadAll()
+	results, err := conn.PgConn().Exec(context.Background(), pgmem.StatusQuery).ReadAll()
 	s.Expect(err).NotTo(HaveOccurred())
-	state, err := member.ParseState(string(results[0].Rows[0][0]))
+	state, err := pgmem.ParseState(string(results[0].Rows[0][0]))
 	s.Expect(err).NotTo(HaveOccurred())
 	return state
 }
