--- a/cmd/poplarrouter/serve.go
+++ b/cmd/poplarrouter/serve.go
@@ -5,17 +5,25 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"runtime/debug"
+	"syscall"
 
 	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/cli"
 	"poplarrouter.example/poplarrouter/internal/config"
 )
 
-const settingsUsage = "the settings file"
+// settingsVariable names the settings file where no flag does.
+const settingsVariable = "POPLARROUTER_NODE_FILE"
+
+const settingsUsage = "the settings file; by default the one that " + settingsVariable + " names"
 
 // readSettings reads and checks a settings file.
 func readSettings(path string) (config.Settings, error) {
+	if path == "" {
+		path = os.Getenv(settingsVariable)
+	}
 	if path == "" {
 		return config.Settings{}, &cli.UsageError{Detail: "got no -settings, want a settings file"}
 	}
@@ -38,7 +46,7 @@
 			if err != nil {
 				return err
 			}
-			return serve(ctx, settings)
+			return serve(ctx, path, settings)
 		},
 	}
 }
@@ -51,15 +59,25 @@
 	return fmt.Sprintf("drain: %d callers were cut off when the time allowed was over", e.Cut)
 }
 
-func serve(ctx context.Context, settings config.Settings) error {
+func serve(ctx context.Context, path string, settings config.Settings) error {
 	proxy, cleanUp, err := app.New(settings, os.Stdout)
 	if err != nil {
 		return err
 	}
 	defer cleanUp()
-	select {
-	case <-ctx.Done():
-	case <-proxy.Leave():
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
+	for leaving := false; !leaving; {
+		select {
+		case <-reloads:
+			changed, err := readSettings(path)
+			proxy.Reload(changed, err)
+		case <-ctx.Done():
+			leaving = true
+		case <-proxy.Leave():
+			leaving = true
+		}
 	}
 	if cut := proxy.Drain(); cut > 0 {
 		return &CutError{Cut: cut}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"reflect"
 	"sync"
 	"time"
 
@@ -15,20 +16,15 @@
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
-	"poplarrouter.example/poplarrouter/internal/elect"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/gate"
 	"poplarrouter.example/poplarrouter/internal/guard"
-	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
-	"poplarrouter.example/poplarrouter/internal/pgfrt"
-	"poplarrouter.example/poplarrouter/internal/pgmem"
 	"poplarrouter.example/poplarrouter/internal/quota"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/internal/store"
-	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
@@ -62,7 +58,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(
-			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newBooks, newBases, newSlots, newHandler, newLeaving, newFront, newOperator,
+			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newPorts, newBooks, newBases, newDispatch, newHandler, newLeaving, newFront, newOperator,
 		),
 		fx.Populate(&p.front, &p.log, &p.leaving, &p.mesh, &p.operator),
 		fx.Invoke(joinMesh),
@@ -90,6 +86,16 @@
 // Leave returns a channel that closes when an operator orders the proxy to leave.
 func (p *Proxy) Leave() <-chan struct{} { return p.leaving.asked }
 
+// Reload tells the proxy that its settings file may have changed. No setting is taken
+// while it runs; one that changed takes effect at the next start.
+func (p *Proxy) Reload(settings config.Settings, err error) {
+	fields := event.Fields{"Host": p.settings.Host, "Changed": err == nil && !reflect.DeepEqual(settings, p.settings)}
+	if err != nil {
+		fields["Cause"] = err.Error()
+	}
+	p.log.Emit(event.SettingsReloaded, fields)
+}
+
 // Drain lets requests in flight and open transactions end, for as long as the
 // settings allow. It returns how many were cut off.
 func (p *Proxy) Drain() int {
@@ -133,12 +139,6 @@
 
 func newMeter(registry *prometheus.Registry) *meter.Meter { return meter.New(registry) }
 
-func newStore(lc fx.Lifecycle, s config.Settings) store.Store {
-	client, cleanUp := store.New(s.StoreAddress, s.Timing.WatchMs.Duration())
-	onStop(lc, cleanUp)
-	return client
-}
-
 func newMesh(lc fx.Lifecycle, s config.Settings, log *event.Log, bytes *meter.Meter) (*peer.Mesh, error) {
 	mesh, cleanUp, err := peer.New(peer.Options{
 		Host:    s.Host,
@@ -159,43 +159,33 @@
 
 const storeRetry = 500 * time.Millisecond
 
-func newBooks(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, g *guard.Guard, mesh *peer.Mesh) *ctrl.Books {
+func newBooks(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, g *guard.Guard, mesh *peer.Mesh, p *ports) *ctrl.Books {
 	books, cleanUp := ctrl.NewBooks(ctrl.BooksOptions{
-		Host: s.Host, Region: s.Region, Store: st, Log: log, Guard: g, Spread: mesh, Fed: mesh.LastHeard, Retry: storeRetry,
+		Host: s.Host, Region: s.Region, Store: st, Log: log, Guard: g, Spread: mesh, Fed: mesh.LastHeard, Retry: storeRetry, Everyone: p.everyone,
 	})
 	onStop(lc, cleanUp)
 	return books
 }
 
-// loginOf returns how to log in at a member for one kind of traffic.
-func loginOf(s config.Settings, m view.Member, kind meter.Kind, bytes *meter.Meter) pgmem.Login {
-	return pgmem.Login{User: s.MemberUser, Password: s.MemberPassword, Host: s.Host, Dial: bytes.Dial(kind, m.Region)}
-}
-
-func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh, bytes *meter.Meter) *ctrl.Bases {
+func newBases(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, books *ctrl.Books, mesh *peer.Mesh, p *ports) *ctrl.Bases {
 	bases, cleanUp := ctrl.NewBases(ctrl.BasesOptions{
 		Base: ctrl.BaseOptions{
 			Host:     s.Host,
 			Region:   s.Region,
-			Rules:    elect.RulesFor(s.Timing.SuspectMs.Duration()),
+			Rules:    p.rules,
 			Poll:     s.Timing.PollMs.Duration(),
 			Timeout:  s.Timing.AskTimeoutMs.Duration(),
 			Watchers: mesh,
 			Store:    st,
-			Dial: func(m view.Member) member.Control {
-				return pgmem.NewLink(m.Address, loginOf(s, m, meter.Control, bytes))
-			},
-			Log:   log,
-			Trace: s.TraceElections,
+			Dial:     p.control,
+			Log:      log,
+			Trace:    s.TraceElections,
 		},
 		Books: books,
-		Open: func(database string, m view.Member) (*member.Pool, func()) {
-			login := loginOf(s, m, meter.Work, bytes)
-			login.Database = database
-			return pgmem.NewPool(m.Address, login, s.Limits.MemberConnections, s.Timing.IdleCheckMs.Duration())
-		},
+		Open:  p.open,
 		Hosts: mesh.SetHosts,
 	})
+	p.bind(bases, books)
 	onStop(lc, cleanUp)
 	return bases
 }
@@ -204,42 +194,26 @@
 // heartbeat missed, and half of a period more.
 func silence(s config.Settings) time.Duration { return s.Timing.BeatMs.Duration() * 3 / 2 }
 
-func newSlots(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, log *event.Log, mesh *peer.Mesh, bytes *meter.Meter) *gate.Dispatch {
-	dispatch, cleanUp := gate.NewDispatch(gate.Options{
-		Host:    s.Host,
-		Queue:   s.Limits.Queue,
-		Silence: silence(s),
-		Timeout: s.Timing.AskTimeoutMs.Duration(),
-		Peers:   mesh,
-		Books:   books,
-		Bases:   bases,
-		Dial: func(m view.Member) member.Control {
-			return pgmem.NewLink(m.Address, loginOf(s, m, meter.Control, bytes))
-		},
-		Log: log,
-	})
-	onStop(lc, cleanUp)
-	return dispatch
-}
-
 // newQuota returns a quota with the floors that ranks have for slots too.
 func newQuota(size int) *quota.Quota {
 	return quota.New(size, quota.Shares(slots.DefaultFloors().Share))
 }
 
-func newHandler(s config.Settings, bases *ctrl.Bases, books *ctrl.Books, log *event.Log, g *guard.Guard, gates *gate.Dispatch, leaving *leaving) chain.Handler {
+func newHandler(s config.Settings, bases *ctrl.Bases, books *ctrl.Books, log *event.Log, g *guard.Guard, p *ports, d *gate.Dispatch, leaving *leaving) chain.Handler {
 	return chain.New(chain.Options{
-		Bases:      bases,
-		Books:      books,
-		Log:        log,
-		Guard:      g,
-		Region:     s.Region,
-		DataCentre: s.DataCentre,
-		InFlight:   newQuota(s.Limits.InFlight),
-		HeldBytes:  s.Limits.HeldAnswerBytes,
-		Confirm:    s.Timing.ConfirmMs.Duration(),
-		Draining:   leaving.draining,
-		Slots:      gates,
+		Bases:       bases,
+		Books:       books,
+		Log:         log,
+		Guard:       g,
+		Region:      s.Region,
+		DataCentre:  s.DataCentre,
+		InFlight:    newQuota(s.Limits.InFlight),
+		HeldBytes:   s.Limits.HeldAnswerBytes,
+		AnswerGrace: p.answerGrace,
+		ReplicaWait: p.replicaWait,
+		Confirm:     s.Timing.ConfirmMs.Duration(),
+		Draining:    leaving.draining,
+		Slots:       p.slots(d),
 	})
 }
 
@@ -257,13 +231,15 @@
 
 func (l *leaving) draining() bool { return l.front != nil && l.front.Draining() }
 
-func newFront(lc fx.Lifecycle, s config.Settings, h chain.Handler, books *ctrl.Books, log *event.Log, g *guard.Guard, registry *prometheus.Registry, mesh *peer.Mesh, l *leaving) (*front.Front, error) {
+func newFront(lc fx.Lifecycle, s config.Settings, h chain.Handler, books *ctrl.Books, log *event.Log, g *guard.Guard, registry *prometheus.Registry, mesh *peer.Mesh, l *leaving, p *ports) (*front.Front, error) {
 	f, cleanUp, err := front.New(front.Options{
 		Address:      s.CallerAddress,
-		Protocol:     pgfrt.Protocol{},
+		Protocol:     p.protocol,
 		Connections:  s.Limits.CallerConnections,
 		Places:       newQuota(s.Limits.CallerConnections),
 		RequestBytes: s.Limits.RequestBytes,
+		Linger:       s.Timing.LingerMs.Duration(),
+		Open:         s.Timing.OpenMs.Duration(),
 		Handler:      h,
 		Books:        books,
 		Log:          log,
--- /dev/null
+++ b/internal/app/lines.go
@@ -0,0 +1,120 @@
+package app
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"go.uber.org/fx"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/config"
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/flow"
+	"poplarrouter.example/poplarrouter/internal/gate"
+	"poplarrouter.example/poplarrouter/internal/member"
+	"poplarrouter.example/poplarrouter/internal/meter"
+	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/share"
+	"poplarrouter.example/poplarrouter/internal/store"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/platform/caller"
+	"poplarrouter.example/poplarrouter/platform/memb"
+	"poplarrouter.example/poplarrouter/platform/objst"
+)
+
+// dialTimeout ends the opening of a connection to the store or the platform.
+const dialTimeout = time.Second
+
+func newObjects(lc fx.Lifecycle, s config.Settings) store.Store {
+	client, cleanUp := objst.New(objst.Options{
+		Address: s.StoreAddress, Wait: s.Timing.WatchMs.Duration(), Regions: s.Regions, Dial: plainDial(dialTimeout),
+	})
+	onStop(lc, cleanUp)
+	return client
+}
+
+// lines holds the parts of a proxy that are built after its ports.
+type lines struct {
+	settings config.Settings
+	bases    *ctrl.Bases
+	books    *ctrl.Books
+}
+
+// newLinePorts returns the parts for members that answer typed statements.
+func newLinePorts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Mesh, bytes *meter.Meter) *ports {
+	l := &lines{settings: s}
+	promoter, closePromoter := memb.NewPromoter(s.PromoteAddress, s.Host, plainDial(dialTimeout))
+	onStop(lc, closePromoter)
+	onStop(lc, ctrl.Enrol(st, log, hostOf(s, mesh.Address()), storeRetry))
+	shares := share.New(share.Options{Queue: s.Limits.Queue, Connections: l.connections})
+	p := &ports{
+		protocol: flow.Protocol{Wrap: caller.New},
+		rules:    lineRules(s),
+		everyone: true,
+		slots:    func(*gate.Dispatch) chain.Slots { return shares },
+		queues:   shares.Queues,
+		watched:  noDispatcher{duty.NewCell[[]ctrl.Watched](nil)},
+		bind:     func(bases *ctrl.Bases, books *ctrl.Books) { l.bases, l.books = bases, books },
+	}
+	dial := func(ctx context.Context, m view.Member, kind meter.Kind) (flow.Orders, error) {
+		return memb.Dial(ctx, bytes.Dial(kind, m.Region), m.Database, m, s.Host)
+	}
+	p.open = func(_ string, m view.Member) (*member.Pool, func()) {
+		return member.NewPool(member.PoolOptions{
+			Address:  m.Address,
+			Modeless: true,
+			Limit:    maxLines,
+			Check:    s.Timing.IdleCheckMs.Duration(),
+			Open: func(ctx context.Context, _ member.Mode) (member.Line, error) {
+				conn, err := dial(ctx, m, meter.Work)
+				if err != nil {
+					return nil, err
+				}
+				return flow.NewLine(conn), nil
+			},
+		})
+	}
+	p.control = func(m view.Member) member.Control {
+		return flow.NewControl(flow.ControlOptions{
+			Database: m.Database,
+			Member:   m,
+			Pool:     func() *member.Pool { return l.bases.Pool(m.Database, m) },
+			Dial:     func(ctx context.Context) (flow.Orders, error) { return dial(ctx, m, meter.Control) },
+			Promoter: promoter,
+		})
+	}
+	return p
+}
+
+// maxLines is how many connections a pool holds at most, whatever the members take.
+const maxLines = 1000
+
+// lineRules returns the rules of elections. A promotion takes effect a while after the
+// order, which an attempt must outlast.
+func lineRules(s config.Settings) elect.Rules {
+	rules := elect.RulesFor(s.Timing.SuspectMs.Duration())
+	rules.SharedTerms = true
+	rules.Attempt = 3 * s.Timing.SuspectMs.Duration()
+	return rules
+}
+
+// connections returns this proxy's share of the connections to a member.
+func (l *lines) connections(database string) int {
+	book := l.books.Book()
+	return share.Size(book.Connections(database), max(len(book.LiveHosts()), 1))
+}
+
+// noDispatcher lists no database, since the members know no dispatcher.
+type noDispatcher struct{ *duty.Cell[[]ctrl.Watched] }
+
+// Watched implements gate.Bases.
+func (n noDispatcher) Watched() ([]ctrl.Watched, <-chan struct{}) { return n.Watch() }
+
+// plainDial opens connections within a time.
+func plainDial(timeout time.Duration) memb.DialFunc {
+	return (&net.Dialer{Timeout: timeout}).DialContext
+}
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -19,7 +19,6 @@
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/front"
-	"poplarrouter.example/poplarrouter/internal/gate"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -43,14 +42,14 @@
 	books    *ctrl.Books
 	bases    *ctrl.Bases
 	front    *front.Front
-	gates    *gate.Dispatch
+	ports    *ports
 	mesh     *peer.Mesh
 	drained  *leaving
 	address  string
 }
 
-func newOperator(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, f *front.Front, gates *gate.Dispatch, mesh *peer.Mesh, registry *prometheus.Registry, l *leaving) (*operator, error) {
-	o := &operator{settings: s, books: books, bases: bases, front: f, gates: gates, mesh: mesh, drained: l}
+func newOperator(lc fx.Lifecycle, s config.Settings, books *ctrl.Books, bases *ctrl.Bases, f *front.Front, p *ports, mesh *peer.Mesh, registry *prometheus.Registry, l *leaving) (*operator, error) {
+	o := &operator{settings: s, books: books, bases: bases, front: f, ports: p, mesh: mesh, drained: l}
 	listener, err := net.Listen("tcp", s.OperatorAddress)
 	if err != nil {
 		return nil, err
@@ -92,7 +91,7 @@
 // ready tells the balancer whether to send callers here.
 func (o *operator) ready(w http.ResponseWriter, _ *http.Request) {
 	held := o.books.Book()
-	if o.front.Draining() || held.Serial(book.Sheet) == 0 || held.Serial(book.Databases) == 0 {
+	if o.front.Leaving() || held.Serial(book.Sheet) == 0 || held.Serial(book.Databases) == 0 {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -161,7 +160,7 @@
 	loaded := held.Loaded()
 	s := Status{
 		Place:    o.settings.Place,
-		Draining: o.front.Draining(),
+		Draining: o.front.Leaving(),
 		Callers:  o.front.Callers(),
 		Sheet:    SheetStatus{Serial: loaded.Serial, LoadedBy: loaded.LoadedBy, LoadedAt: loaded.LoadedAt},
 		Serials:  held.Serials(),
@@ -176,7 +175,7 @@
 			s.Databases = append(s.Databases, databaseStatus(base.View(), time.Now()))
 		}
 	}
-	for key, g := range o.gates.Queues() {
+	for key, g := range o.ports.queues() {
 		free, lent, waiting := g.Counts()
 		s.Queues = append(s.Queues, QueueStatus{Member: key, Free: free, Lent: lent, Waiting: waiting})
 	}
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -45,7 +45,15 @@
 	Load     string
 	LoadedAt time.Time
 	// CSV is the sheet's export, as it was checked.
-	CSV string
+	CSV string `json:",omitempty"`
+	// Rows are the sheet's rows, where the platform keeps them checked instead of an
+	// export.
+	Rows []sheet.Row `json:",omitempty"`
+	// Connections is how many connections each member of a database takes, where
+	// the platform tells that with the sheet.
+	Connections map[string]int `json:",omitempty"`
+	// IdleTransaction is how long a caller may leave a transaction idle, or 0.
+	IdleTransaction time.Duration `json:",omitempty"`
 }
 
 // DatabasesDoc is the body of the document that lists the databases.
@@ -66,6 +74,9 @@
 	Members []view.Member
 }
 
+// HostKey returns the store's key of a host's own entry, where hosts list themselves.
+func HostKey(host string) string { return string(Hosts) + "/" + host }
+
 // HostsDoc is the body of the document that lists the hosts.
 type HostsDoc struct {
 	Serial uint64
@@ -135,6 +146,16 @@
 // Loaded returns who loaded the sheet in force, and when.
 func (b Book) Loaded() SheetDoc { return b.loaded }
 
+// Connections returns how many connections each member of a database takes, or 0 if
+// that is not known.
+func (b Book) Connections(database string) int {
+	if n, found := b.loaded.Connections[database]; found {
+		return n
+	}
+	d, _ := b.Database(database)
+	return d.Connections
+}
+
 // Databases returns the databases in the order of the list.
 func (b Book) Databases() []Database { return b.databases }
 
@@ -191,6 +212,11 @@
 			return err
 		}
 		b.databases = body.Databases
+		for _, d := range b.databases {
+			for i := range d.Members {
+				d.Members[i].Database = d.Name
+			}
+		}
 	case Hosts:
 		var body HostsDoc
 		if err := decode(doc, &body); err != nil {
@@ -208,6 +234,10 @@
 	if err := decode(doc, &body); err != nil {
 		return err
 	}
+	if body.CSV == "" && body.Rows != nil {
+		b.sheet, b.loaded = sheet.Of(body.Rows), body
+		return nil
+	}
 	parsed, err := sheet.Parse(bytes.NewBufferString(body.CSV))
 	if err != nil {
 		return &BodyError{Kind: Sheet, Detail: err.Error()}
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -86,7 +86,7 @@
 // refusedFields describe a request that ends with a fault.
 func refusedFields(r *Request, err *fault.Error) event.Fields {
 	return event.Fields{
-		"Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Service": r.Caller.Service, "Kind": r.Work.Kind,
+		"Request": r.Name, "Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Service": r.Caller.Service, "Kind": r.Work.Kind,
 		"Rank": int(r.Work.Rank), "Fault": err.Kind.String(), "Cause": err.Error(),
 		"WaitedMs": time.Since(r.Arrived).Milliseconds(),
 	}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -17,6 +17,7 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/quota"
 	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -96,6 +97,9 @@
 	// Access returns what the request may do, given what the sheet says of its
 	// kind: one that opens a read-only transaction is a read.
 	Access(listed sheet.Access) sheet.Access
+	// Proves tells whether a primary proves in the answer itself that it leads, so
+	// that a read there needs no floor.
+	Proves() bool
 	// Run sends the request over a connection and passes the answer on, but for
 	// what is held back. A failure leaves the connection unusable, and what became
 	// of the request unknown.
@@ -117,6 +121,8 @@
 	Pinned bool
 	// Floor is what the member must have applied, as far as it can tell itself.
 	Floor group.Floor
+	// Lead tells that the answer to a read must prove that the member leads.
+	Lead bool
 	// HeldBytes bounds what is held back.
 	HeldBytes int
 	// Deadline is when the answer is given up.
@@ -135,9 +141,16 @@
 	// Refused tells that the member refused the request because it is no primary,
 	// and that nothing of it is in effect.
 	Refused bool
+	// Turned tells why the member refused the request before any of it ran, or is
+	// nil. The connection can be used again unless it is dirty.
+	Turned *fault.Error
 	// Committed is the position of the request's write that is to be confirmed, or
 	// zero.
 	Committed group.Floor
+	// Kept is the position of a write that the member confirmed itself, or zero.
+	Kept group.Floor
+	// Led is the member's state, if the answer proves that it leads.
+	Led group.State
 }
 
 // Sent tells whether any of the request was sent to a member that did not refuse
@@ -167,6 +180,12 @@
 	InFlight *quota.Quota
 	// HeldBytes bounds what is held back until a write is confirmed.
 	HeldBytes int
+	// AnswerGrace is how much longer than its deadline a request may run before its
+	// connection counts as silent. The answer that comes within it is passed on.
+	AnswerGrace time.Duration
+	// ReplicaWait is how long a read waits for a replica of its own region to reach
+	// its floor before it goes further.
+	ReplicaWait time.Duration
 	// Confirm is how long a write waits for its confirmation.
 	Confirm time.Duration
 	// Draining tells whether the proxy is leaving.
--- a/internal/chain/find.go
+++ b/internal/chain/find.go
@@ -10,10 +10,6 @@
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
-// replicaWait is how long a read waits for a replica of its own region to reach
-// its floor before it goes further.
-const replicaWait = 20 * time.Millisecond
-
 // Awaiter waits for what is known of a database to change.
 type Awaiter interface {
 	// Await returns the first view for which ready returns true, or false if
@@ -50,6 +46,9 @@
 type Finder struct {
 	Region     string
 	DataCentre string
+	// ReplicaWait is how long a read waits for a replica of its own region to reach
+	// its floor before it goes further.
+	ReplicaWait time.Duration
 }
 
 // Find returns the members that may serve a read. It returns a NoReader fault if
@@ -111,7 +110,7 @@
 // floor, then for any member. It also returns if the floor was lost.
 func (f Finder) await(ctx context.Context, base Awaiter, w Want, floor group.Floor) (view.View, error) {
 	lost := func(v view.View) bool { return v.Fate(floor) == group.Lost }
-	short, cancel := context.WithTimeout(ctx, replicaWait)
+	short, cancel := context.WithTimeout(ctx, f.ReplicaWait)
 	defer cancel()
 	v, found := base.Await(short, func(v view.View) bool {
 		return lost(v) || slices.ContainsFunc(v.Readers(floor), func(m view.Member) bool { return f.isNearReplica(v, m) })
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -63,6 +63,9 @@
 
 // routeRead finds the members that may serve a read.
 func (f *filters) routeRead(ctx context.Context, r *Request, next Handler) error {
+	if r.Work.AcceptedAge == 0 && !r.Token && r.Exchange.Proves() {
+		return f.routeWrite(ctx, r, next)
+	}
 	found, err := f.finder().Find(ctx, r.base, Want{
 		Database: r.Work.Database, Floor: r.Floor, Token: r.Token, Age: r.Work.AcceptedAge, Arrived: r.Arrived, Turn: r.Caller.ID,
 	})
@@ -74,11 +77,13 @@
 	return next(ctx, r)
 }
 
-func (f *filters) finder() Finder { return Finder{Region: f.Region, DataCentre: f.DataCentre} }
+func (f *filters) finder() Finder {
+	return Finder{Region: f.Region, DataCentre: f.DataCentre, ReplicaWait: f.ReplicaWait}
+}
 
 func (f *filters) routed(r *Request, m view.Member, reason string, term group.Term) event.Fields {
 	return event.Fields{
-		"Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Database": r.Work.Database, "Kind": r.Work.Kind,
+		"Request": r.Name, "Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Database": r.Work.Database, "Kind": r.Work.Kind,
 		"Rank": int(r.Work.Rank), "Member": m.Name, "Region": m.Region, "Reason": reason,
 		"Term": term, "Floor": r.need.String(),
 	}
@@ -120,8 +125,10 @@
 // another.
 func (f *filters) mayMove(r *Request, err error) bool {
 	switch fault.Of(err).Kind {
-	case fault.Unreachable:
+	case fault.Unreachable, fault.Behind:
 		return true
+	case fault.Overloaded:
+		return r.Answer.Turned != nil
 	case fault.Severed:
 		return !r.Write() && !r.Exchange.Sent()
 	default:
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -10,10 +10,6 @@
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
-// answerGrace is how much longer than its deadline a request may run before its
-// connection counts as silent. The answer that comes within it is passed on.
-const answerGrace = 2 * time.Second
-
 // run sends the request and passes the answer on.
 func (f *filters) run(_ context.Context, r *Request) error {
 	l := r.Lease
@@ -25,7 +21,7 @@
 		f.drop(r, true)
 		return Late("send", r)
 	}
-	deadline := r.Deadline.Add(answerGrace)
+	deadline := r.Deadline.Add(f.AnswerGrace)
 	if err := l.SetDeadline(deadline); err != nil {
 		f.drop(r, false)
 		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
@@ -37,13 +33,23 @@
 	r.sends++
 	r.Track(l)
 	defer r.Track(nil)
-	order := Order{Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, HeldBytes: f.HeldBytes, Deadline: deadline}
+	lead := !l.MayWrite && !r.pinned && r.Exchange.Proves() && isPrimary(r.base.View(), l.Member)
+	order := Order{Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, Lead: lead, HeldBytes: f.HeldBytes, Deadline: deadline}
+	asked := time.Now()
 	answer, err := r.Exchange.Run(l.Line, order)
 	r.Answer = answer
 	if err != nil {
 		f.drop(r, false)
 		return err
 	}
+	if answer.Turned != nil {
+		f.drop(r, !answer.Dirty)
+		r.sends--
+		return answer.Turned
+	}
+	if answer.Led.Led {
+		r.base.Observe(view.Report{Member: l.Member.Name, Asked: asked, Heard: time.Now(), State: answer.Led})
+	}
 	f.Guard.Assert(guard.WholeAnswer, answer.Whole, event.Fields{"CallerID": r.Caller.ID, "Member": l.Member.Name})
 	f.assertRead(r)
 	r.Committed = answer.Committed
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -6,12 +6,30 @@
 package config
 
 import (
+	"encoding/json"
 	"time"
 )
 
 // Millis is a duration in whole milliseconds, as settings write it.
 type Millis int
 
+// UnmarshalJSON implements json.Unmarshaler. Besides a whole number it takes a text
+// with a unit, such as "1.5s".
+func (m *Millis) UnmarshalJSON(raw []byte) error {
+	var number int
+	if json.Unmarshal(raw, &number) == nil {
+		*m = Millis(number)
+		return nil
+	}
+	var text string
+	if err := json.Unmarshal(raw, &text); err != nil {
+		return err
+	}
+	d, err := time.ParseDuration(text)
+	*m = Millis(d.Milliseconds())
+	return err
+}
+
 // Duration returns the value as a time.Duration.
 func (m Millis) Duration() time.Duration { return time.Duration(m) * time.Millisecond }
 
@@ -28,6 +46,8 @@
 // Settings are the settings of one proxy.
 type Settings struct {
 	Place
+	// Protocol is what callers and members speak: PostgreSQL or Lines.
+	Protocol string
 	// CallerAddress is the IP and port on which callers connect.
 	CallerAddress string
 	// PeerAddress is the IP and port on which other proxies connect.
@@ -39,6 +59,11 @@
 	Seeds []string
 	// StoreAddress is the IP and port of the platform's store.
 	StoreAddress string
+	// PromoteAddress is the IP and port at which the platform takes orders for
+	// promotions, where members do not take them themselves.
+	PromoteAddress string
+	// Regions gives the region of each data centre, where the lists of members do not.
+	Regions map[string]string
 	// PeerSecret authenticates proxies to one another.
 	PeerSecret string
 	// OperatorSecret authenticates operators' orders.
@@ -54,6 +79,12 @@
 	TraceElections bool
 }
 
+// The protocols that callers and members speak.
+const (
+	PostgreSQL = "PostgreSQL"
+	Lines      = "Lines"
+)
+
 // Limits bound what one proxy holds.
 type Limits struct {
 	// CallerConnections is how many callers may be connected.
@@ -89,6 +120,11 @@
 	WatchMs Millis
 	// DrainMs is how long a leaving proxy waits for open transactions.
 	DrainMs Millis
+	// LingerMs is how long a leaving proxy still serves, so that the balancer can
+	// learn of it.
+	LingerMs Millis
+	// OpenMs is how long open transactions may go on in a leaving proxy.
+	OpenMs Millis
 	// IdleCheckMs is how long a connection may idle before it is checked.
 	IdleCheckMs Millis
 }
@@ -96,6 +132,7 @@
 // Default returns the settings that a file need not give.
 func Default() Settings {
 	return Settings{
+		Protocol:   PostgreSQL,
 		MemberUser: "poplarrouter",
 		Limits: Limits{
 			CallerConnections: 10_000,
@@ -113,6 +150,8 @@
 			BeatMs:       1000,
 			WatchMs:      20_000,
 			DrainMs:      20_000,
+			LingerMs:     1,
+			OpenMs:       20_000,
 			IdleCheckMs:  5_000,
 		},
 	}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -7,6 +7,7 @@
 	"net/netip"
 	"reflect"
 	"slices"
+	"strconv"
 	"strings"
 )
 
@@ -82,6 +83,8 @@
 	switch kind {
 	case reflect.String:
 		return "a string"
+	case reflect.Map:
+		return "an object of strings"
 	case reflect.Slice:
 		return "a list of strings"
 	case reflect.Bool:
@@ -118,6 +121,7 @@
 	c.address("PeerAddress", s.PeerAddress)
 	c.address("OperatorAddress", s.OperatorAddress)
 	c.address("StoreAddress", s.StoreAddress)
+	c.protocol(s)
 	c.secret("PeerSecret", s.PeerSecret)
 	c.secret("OperatorSecret", s.OperatorSecret)
 	for i, seed := range s.Seeds {
@@ -148,6 +152,20 @@
 	}
 }
 
+// protocol checks what the protocol of callers and members needs.
+func (c *checker) protocol(s Settings) {
+	switch s.Protocol {
+	case PostgreSQL:
+	case Lines:
+		c.address("PromoteAddress", s.PromoteAddress)
+		if s.Regions[s.DataCentre] == "" {
+			c.fail("Regions", "no region of "+strconv.Quote(s.DataCentre), "the region of each data centre")
+		}
+	default:
+		c.fail("Protocol", strconv.Quote(s.Protocol), PostgreSQL+" or "+Lines)
+	}
+}
+
 // secret checks the length of a secret. Its text stays out of the fault.
 func (c *checker) secret(path, value string) {
 	if len(value) < leastSecret {
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -106,6 +106,9 @@
 // SetMembers replaces the list of members.
 func (b *Base) SetMembers(members []view.Member) { b.inputs.Offer(trace.Input{Members: members}) }
 
+// Observe takes what an answer to a caller's work showed of a member.
+func (b *Base) Observe(r view.Report) { b.inputs.Offer(trace.Input{Report: &r}) }
+
 // SetWatchers replaces the hosts that watch the database, in the order of their
 // claim on it.
 func (b *Base) SetWatchers(hosts []string) { b.watchers.Store(hosts) }
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -54,6 +54,7 @@
 
 type poolKey struct {
 	database string
+	member   string
 	address  string
 }
 
@@ -103,7 +104,7 @@
 func (b *Bases) Pool(database string, m view.Member) *member.Pool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	key := poolKey{database: database, address: m.Address}
+	key := poolKey{database: database, member: m.Name, address: m.Address}
 	owned, found := b.pools[key]
 	if !found {
 		owned.pool, owned.stop = b.options.Open(database, m)
@@ -215,7 +216,7 @@
 	listed := make(map[poolKey]bool)
 	for _, w := range watched {
 		for _, m := range w.Members {
-			listed[poolKey{database: w.Name, address: m.Address}] = true
+			listed[poolKey{database: w.Name, member: m.Name, address: m.Address}] = true
 		}
 	}
 	for key, owned := range b.pools {
--- a/internal/ctrl/books.go
+++ b/internal/ctrl/books.go
@@ -30,6 +30,9 @@
 	Spread Spreader
 	// Fed returns when any peer was heard last.
 	Fed func() time.Time
+	// Everyone tells that every proxy watches the store for itself, and none is
+	// sent documents that it has not asked for.
+	Everyone bool
 	// Retry is the pause after the store failed.
 	Retry time.Duration
 }
@@ -104,7 +107,9 @@
 	})
 	b.cell.Store(next)
 	b.options.Log.Emit(adopted[doc.Kind], event.Fields{"Kind": doc.Kind, "Serial": doc.Serial})
-	b.options.Spread.Spread(doc)
+	if !b.options.Everyone {
+		b.options.Spread.Spread(doc)
+	}
 }
 
 // watch is the duty that follows one document in the store. While the proxy is
@@ -144,6 +149,9 @@
 // watchers in each region fetch a document over the link between regions once
 // or twice, and a region that is cut off does not hold up the others.
 func (b *Books) chosen(kind book.Kind) bool {
+	if b.options.Everyone {
+		return true
+	}
 	held := b.Book()
 	var hosts []string
 	for _, h := range held.Hosts() {
--- a/internal/ctrl/order.go
+++ b/internal/ctrl/order.go
@@ -75,7 +75,10 @@
 		// at work.
 		return elect.Claimed{Conflict: true, Claim: old}, nil
 	}
-	mine := elect.Claim{Term: max(after, old.Term) + 1, Promoter: b.options.Host, Attempt: rand.Text()}
+	mine := elect.Claim{Term: max(after, old.Term) + 1, Token: old.Token + 1, Promoter: b.options.Host, Attempt: rand.Text()}
+	if b.options.Rules.SharedTerms {
+		mine.Term = after + 1
+	}
 	body, err := json.Marshal(mine)
 	if err != nil {
 		return elect.Claimed{}, err
@@ -110,7 +113,7 @@
 	return claim, object.Version, nil
 }
 
-type commandFunc func(member.Control, context.Context, group.Term, string) (group.State, error)
+type commandFunc func(member.Control, context.Context, member.Warrant) (group.State, error)
 
 // reach calls give with a connection of its own to a member, since the poller's
 // may be stuck. A member that is no longer listed is left alone.
@@ -130,7 +133,7 @@
 func (b *Base) command(ctx context.Context, o elect.Order, give commandFunc) error {
 	return b.reach(ctx, o.Member, func(ctx context.Context, control member.Control) error {
 		asked := time.Now()
-		state, err := give(control, ctx, o.Claim.Term, o.Claim.Promoter+"/"+o.Claim.Attempt)
+		state, err := give(control, ctx, member.Warrant{Term: o.Claim.Term, Promoter: o.Claim.Promoter + "/" + o.Claim.Attempt, Token: o.Claim.Token})
 		var refused *member.RefusedError
 		answer := elect.Answer{Member: o.Member, Term: o.Claim.Term, Refused: errors.As(err, &refused), Failed: err != nil, State: state}
 		b.options.Log.Emit(event.FenceAnswered, event.Fields{
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/trace"
@@ -139,7 +141,8 @@
 		control.Close()
 		state, err = control.Ask(askCtx)
 	}
-	if ctx.Err() != nil {
+	var busy *member.BusyError
+	if ctx.Err() != nil || errors.As(err, &busy) {
 		return
 	}
 	if err != nil {
--- a/internal/ctrl/reads_test.go
+++ b/internal/ctrl/reads_test.go
@@ -91,7 +91,7 @@
 	x := r.proxy.world
 	began := time.Now()
 	lawful, near := x.lawful(r.written, began, age, r.proxy.region)
-	finder := chain.Finder{Region: r.proxy.region, DataCentre: r.proxy.region}
+	finder := chain.Finder{Region: r.proxy.region, DataCentre: r.proxy.region, ReplicaWait: 20 * time.Millisecond}
 	ctx, cancel := context.WithTimeout(runCtx, 2*time.Second)
 	defer cancel()
 	found, err := finder.Find(ctx, r.proxy.base, chain.Want{
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -404,11 +404,11 @@
 	return c.call(ctx, func(*lablog.Log) error { return nil })
 }
 
-func (c *fakeControl) Fence(ctx context.Context, term group.Term, promoter string) (group.State, error) {
-	return c.order(ctx, func(l *lablog.Log) error { return l.Promise(term, promoter) })
+func (c *fakeControl) Fence(ctx context.Context, w member.Warrant) (group.State, error) {
+	return c.order(ctx, func(l *lablog.Log) error { return l.Promise(w.Term, w.Promoter) })
 }
 
-func (c *fakeControl) Promote(ctx context.Context, term group.Term, promoter string) (group.State, error) {
+func (c *fakeControl) Promote(ctx context.Context, w member.Warrant) (group.State, error) {
 	if c.proxy.world.way == lease {
 		pause(ctx, leaseTime)
 		ctx = context.WithoutCancel(ctx)
@@ -416,7 +416,7 @@
 	served := c.proxy.world.primaryServes()
 	return c.order(ctx, func(l *lablog.Log) error {
 		was := l.State().Term
-		err := l.Promote(term, promoter)
+		err := l.Promote(w.Term, w.Promoter)
 		if err == nil && l.State().Term > was && served {
 			c.proxy.world.countFalse()
 		}
--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -35,7 +35,15 @@
 
 func (m Machine) handOver(now time.Time, v view.View, target string) (Machine, []Action) {
 	m.stage, m.since, m.term, m.target = Claiming, now, v.Term(), target
-	return m, []Action{{ClaimTerm: &ClaimTerm{After: v.Fence()}}}
+	return m, []Action{{ClaimTerm: &ClaimTerm{After: m.lastTerm(v)}}}
+}
+
+// lastTerm returns the term after which the next one is claimed.
+func (m Machine) lastTerm(v view.View) group.Term {
+	if m.rules.SharedTerms {
+		return v.Term()
+	}
+	return v.Fence()
 }
 
 func (m Machine) claiming(now time.Time, v view.View, e Event) (Machine, []Action) {
@@ -56,10 +64,27 @@
 	m.fenced, m.answered = make(map[string]group.State), make(map[string]bool)
 	won := Note{Kind: ClaimWon, Term: m.claim.Term}
 	actions := []Action{{Note: &won}}
-	if primary, found := v.Primary(); found && m.target != "" {
-		return m, append(actions, m.fence(primary.Member))
+	primary, found := v.Primary()
+	switch {
+	case !found || m.target == "":
+		actions = append(actions, m.fenceRest(v)...)
+	case m.rules.SharedTerms:
+		actions = append(actions, m.fenceOthers(v, primary.Member)...)
+	default:
+		actions = append(actions, m.fence(primary.Member))
+	}
+	return m, actions
+}
+
+// fenceOthers fences the members that neither lead nor are to lead.
+func (m Machine) fenceOthers(v view.View, primary string) []Action {
+	var actions []Action
+	for _, member := range v.Members() {
+		if member.Name != primary && member.Name != m.target {
+			actions = append(actions, m.fence(member.Name))
+		}
 	}
-	return m, append(actions, m.fenceRest(v)...)
+	return actions
 }
 
 func (m Machine) fence(member string) Action {
@@ -100,6 +125,9 @@
 	if now.Sub(m.since) >= m.rules.Attempt {
 		return m.giveUp(now)
 	}
+	if m.target != "" && m.rules.SharedTerms {
+		return m.handingWarm(now, v)
+	}
 	if m.target != "" && !m.caughtUp && len(m.fenced) > 0 {
 		return m.handing(v)
 	}
@@ -142,6 +170,23 @@
 	return m, m.fenceRest(v)
 }
 
+// handingWarm waits, with the primary in service and the other replicas fenced, until
+// the target has received all that these have. From then on it receives whatever is
+// acknowledged, so that it can be promoted.
+func (m Machine) handingWarm(now time.Time, v view.View) (Machine, []Action) {
+	target, heard := v.Report(m.target)
+	if !heard || len(m.fenced) < len(v.Members())-2 {
+		return m, nil
+	}
+	for _, s := range m.fenced {
+		if target.State.Log().Less(s.Log()) {
+			return m, nil
+		}
+	}
+	m.stage, m.chosen = Choosing, m.target
+	return m, []Action{{Promote: &Order{Member: m.chosen, Claim: m.claim}}}
+}
+
 // longest returns the fenced member with the longest log. Of equal ones it
 // prefers the target of a handover, then the primary so far, then the first in
 // the database's list that is not leaving.
@@ -175,12 +220,17 @@
 	}
 }
 
+// inForce tells whether a term of a primary carries the claim out.
+func (m Machine) inForce(term group.Term) bool {
+	return term == m.claim.Term || (m.rules.SharedTerms && term > m.claim.Term)
+}
+
 func (m Machine) choosing(now time.Time, e Event) (Machine, []Action) {
 	if a := e.Answer; a != nil && a.Member == m.chosen && a.Term == m.claim.Term && !a.Failed {
 		if a.Refused {
 			return m.retreat(now.Add(m.rules.Attempt), AttemptFailed)
 		}
-		if a.State.Role == group.Primary && a.State.Term == m.claim.Term {
+		if a.State.Role == group.Primary && m.inForce(a.State.Term) {
 			return m.retreat(now.Add(m.rules.Attempt), MemberPromoted)
 		}
 	}
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -60,6 +60,11 @@
 	// Grace is how long a promoter waits for further members after a majority
 	// has promised.
 	Grace time.Duration
+	// SharedTerms tells that members promise a term to every promoter, and that a
+	// promotion begins the next term whatever was promised: claims are told apart by
+	// their tokens. A planned change then leaves the primary in service: the other
+	// replicas are fenced, so that the target receives all that is acknowledged.
+	SharedTerms bool `json:",omitempty"`
 }
 
 // suspect returns how long a member must be silent before it is suspected.
--- a/internal/elect/event.go
+++ b/internal/elect/event.go
@@ -10,7 +10,9 @@
 
 // Claim is the value of a database's claim in the store.
 type Claim struct {
-	Term     group.Term
+	Term group.Term
+	// Token grows with every claim, also of the same term.
+	Token    uint64 `json:",omitempty"`
 	Promoter string
 	// Attempt is a random name, by which a promoter knows its own write again.
 	Attempt string
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -32,6 +32,14 @@
 	foreign  group.Term
 	repaired time.Time
 	started  time.Time
+	// stalls are the replicas that have stood still behind the primary.
+	stalls map[string]stall
+}
+
+// stall is where a replica stands, and since when.
+type stall struct {
+	at    group.Position
+	since time.Time
 }
 
 // New returns the machine of a watcher. The list of watchers is in the order of
@@ -173,7 +181,7 @@
 	}
 	if m.agreed() && m.turn(now) {
 		m.stage, m.since = Claiming, now
-		return m, []Action{{ClaimTerm: &ClaimTerm{After: v.Fence()}}}
+		return m, []Action{{ClaimTerm: &ClaimTerm{After: m.lastTerm(v)}}}
 	}
 	if now.Sub(m.asked) < m.rules.Repoll {
 		return m, nil
@@ -209,6 +217,9 @@
 	if !found || primary.State.Fenced() {
 		return m, nil
 	}
+	if m.rules.SharedTerms {
+		return m.release(now, v, primary)
+	}
 	leader, _ := v.Member(primary.Member)
 	var actions []Action
 	for _, member := range v.Members() {
@@ -230,3 +241,28 @@
 	m.repaired = now
 	return m, actions
 }
+
+// release lets replicas receive again that have stood still behind the primary: one
+// may have been fenced for an attempt that came to nothing. The first watcher acts at
+// once, each further one later.
+func (m Machine) release(now time.Time, v view.View, primary view.Report) (Machine, []Action) {
+	stalls := make(map[string]stall)
+	var actions []Action
+	for _, member := range v.Members() {
+		r, heard := v.Report(member.Name)
+		if !heard || v.Silent(member.Name) || member.Name == primary.Member || !r.State.Log().Less(primary.State.Log()) {
+			continue
+		}
+		was, known := m.stalls[member.Name]
+		if !known || was.at != r.State.Received {
+			was = stall{at: r.State.Received, since: now}
+		}
+		if now.Sub(was.since) >= m.rules.Attempt*2+time.Duration(m.place)*m.rules.Stagger {
+			was.since = now
+			actions = append(actions, Action{Follow: &Follow{Member: member.Name, Term: primary.State.Term}})
+		}
+		stalls[member.Name] = was
+	}
+	m.stalls = stalls
+	return m, actions
+}
--- /dev/null
+++ b/internal/flow/serve.go
@@ -0,0 +1,180 @@
+package flow
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/stmt"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+// startTimeout is how long a caller may take to say what it wants.
+const startTimeout = 10 * time.Second
+
+// Protocol serves callers over a protocol of typed statements.
+type Protocol struct {
+	// Wrap returns the caller behind a connection.
+	Wrap func(conn net.Conn) Caller
+}
+
+var _ front.Protocol = Protocol{}
+
+// Refuse implements front.Protocol. A caller that sent no request expects no
+// answer: its connection is just closed.
+func (Protocol) Refuse(net.Conn, *fault.Error) {}
+
+// Serve implements front.Protocol.
+func (p Protocol) Serve(ctx context.Context, base *front.Session) error {
+	s := &session{Session: base, caller: p.Wrap(base.Conn)}
+	if err := s.start(); err != nil {
+		s.Denied(err)
+		return err
+	}
+	s.Greeted("")
+	for {
+		q, err := s.caller.Next()
+		if err != nil {
+			return s.broken(err)
+		}
+		if err := s.answer(ctx, q); err != nil {
+			return err
+		}
+	}
+}
+
+type session struct {
+	*front.Session
+	caller Caller
+	state  stmt.Session
+	floor  group.Floor
+}
+
+// start reads what the caller asks for and checks it against the sheet.
+func (s *session) start() error {
+	if err := s.SetDeadline(time.Now().Add(startTimeout)); err != nil {
+		return err
+	}
+	start, err := s.caller.Start()
+	if err != nil {
+		return errors.CombineErrors(err, s.deny(err))
+	}
+	s.Caller.Service, s.Caller.Name = start.Service, start.Name
+	rows, listed := s.Options().Books.Book().Sheet().Access(start.Service, start.Name)
+	if !listed {
+		err := fault.New(fault.Denied, "connect", "no service %q is listed", start.Service)
+		return errors.CombineErrors(err, s.deny(err))
+	}
+	work, _ := sheet.Work(rows, rows[0].Kind)
+	if err := s.TakePlace(work.Rank); err != nil {
+		return errors.CombineErrors(err, s.deny(err))
+	}
+	if err := s.caller.Accept(); err != nil {
+		return err
+	}
+	return s.SetDeadline(time.Time{})
+}
+
+func (s *session) deny(err error) error {
+	var known *fault.Error
+	if !errors.As(err, &known) {
+		return nil
+	}
+	return s.caller.Deny(refusalOf(known), known.Message())
+}
+
+// broken answers a message that could not be read. The session ends with it.
+func (s *session) broken(err error) error {
+	var known *fault.Error
+	if errors.As(err, &known) {
+		return errors.CombineErrors(err, s.caller.Answer(Reply{Refusal: refusalOf(known), Text: known.Message(), Phase: s.state.Phase}))
+	}
+	return err
+}
+
+// answer answers one query.
+func (s *session) answer(ctx context.Context, q Query) error {
+	if !s.Begin() {
+		err := fault.New(fault.Leaving, "read request", "this proxy is leaving")
+		return errors.CombineErrors(err, s.caller.Answer(Reply{Refusal: refusalOf(err), Text: err.Message(), Phase: s.state.Phase}))
+	}
+	defer s.End()
+	if reply, wrong := s.misplaced(q.Statement); wrong {
+		return s.caller.Answer(reply)
+	}
+	if s.state.Phase == stmt.Failed {
+		return s.endFailed(ctx, q)
+	}
+	next, own := s.state.Answers(q.Statement)
+	if own {
+		s.state = next
+		return s.caller.Answer(Reply{Receipt: ownReceipt, Phase: s.state.Phase})
+	}
+	return s.caller.Answer(s.run(ctx, q))
+}
+
+// misplaced answers a statement that does not fit what came before it.
+func (s *session) misplaced(st stmt.Statement) (Reply, bool) {
+	r := Reply{Refusal: Malformed, Phase: s.state.Phase}
+	open := s.state.Phase != stmt.Idle
+	switch st.Kind {
+	case stmt.Begin, stmt.BeginRead:
+		r.Text = "a transaction is open"
+		return r, open
+	case stmt.Commit, stmt.Rollback:
+		r.Text = "no transaction is open"
+		return r, !open
+	default:
+	}
+	if s.state.Phase == stmt.Failed {
+		r.Text = "the transaction has failed"
+		return r, true
+	}
+	if st.Kind != stmt.Execute {
+		return Reply{}, false
+	}
+	_, found := s.state.Shape(st.Name)
+	return Reply{Refusal: Unprepared, Text: st.Name, Phase: s.state.Phase}, !found
+}
+
+// endFailed ends a transaction that can only be rolled back.
+func (s *session) endFailed(ctx context.Context, q Query) error {
+	reply := Reply{Receipt: ownReceipt}
+	if s.Pinned() {
+		rollback := Query{Statement: stmt.Statement{Kind: stmt.Rollback, Text: "ROLLBACK"}}
+		if q.Statement.Kind == stmt.Rollback {
+			rollback = q
+		}
+		if r := s.run(ctx, rollback); r.Refusal == Accepted {
+			reply = r
+		}
+	}
+	s.state.Phase = stmt.Idle
+	reply.Phase = stmt.Idle
+	if q.Statement.Kind == stmt.Commit {
+		reply = Reply{Refusal: Aborted, Text: "the transaction had failed and was rolled back"}
+	}
+	return s.caller.Answer(reply)
+}
+
+// run sends a statement through the chain.
+func (s *session) run(ctx context.Context, q Query) Reply {
+	x := NewExchange(q, s.state)
+	r := &chain.Request{Name: q.ID, Exchange: x, Floor: s.floor, Arrived: time.Now()}
+	if err := s.Do(ctx, r); err != nil {
+		reply, state := x.Fail(err)
+		s.state = state
+		return reply
+	}
+	s.state = x.Session()
+	if s.floor.Less(r.Answer.Kept) {
+		s.floor = r.Answer.Kept
+	}
+	return x.Reply()
+}
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -43,6 +43,10 @@
 	Connections int
 	// Places shares the connections among the ranks.
 	Places *quota.Quota
+	// Linger is how long a leaving front still serves, and Open how long open
+	// transactions may go on in it.
+	Linger time.Duration
+	Open   time.Duration
 	// RequestBytes bounds one request.
 	RequestBytes int
 	Handler      chain.Handler
@@ -59,6 +63,9 @@
 	options  Options
 	listener net.Listener
 	counts   counts
+	// leaving tells that the front is to be left out by the balancer, and draining
+	// that it serves no further callers.
+	leaving  atomic.Bool
 	draining atomic.Bool
 
 	mu       sync.Mutex
@@ -110,7 +117,10 @@
 // Address returns the address on which callers connect.
 func (f *Front) Address() string { return f.listener.Addr().String() }
 
-// Draining tells whether the proxy is leaving.
+// Leaving tells whether the proxy is about to leave, or no longer serves new work.
+func (f *Front) Leaving() bool { return f.leaving.Load() }
+
+// Draining tells whether the proxy serves no new work any more.
 func (f *Front) Draining() bool { return f.draining.Load() }
 
 func (f *Front) accept(ctx context.Context) error {
@@ -129,6 +139,9 @@
 	}
 	defer f.forget(s)
 	err = f.options.Protocol.Serve(ctx, s)
+	if s.Ending() {
+		f.refuse(conn, fault.New(fault.Leaving, "wait for request", "this proxy is leaving"))
+	}
 	s.Rollback()
 	f.options.Log.Emit(event.CallerClosed, event.Fields{"CallerID": s.Caller.ID, "Caller": s.Caller.Name})
 	return err
@@ -191,16 +204,23 @@
 
 const drainLook = 5 * time.Millisecond
 
-// Drain stops listening, ends idle sessions, and waits until those with a
-// request in flight or an open transaction have ended theirs, or the context
-// ends. It returns how many were cut off.
+// Drain lingers, so that the balancer learns that the proxy leaves. Then it stops
+// listening, ends idle sessions, and waits until those with a request in flight or an
+// open transaction have ended theirs, or the context ends. It returns how many were cut
+// off. Open transactions that are idle end after a time of their own.
 func (f *Front) Drain(ctx context.Context) int {
+	f.leaving.Store(true)
+	began := time.Now()
+	duty.Pause(ctx, f.options.Linger)
 	f.draining.Store(true)
 	_ = f.listener.Close()
 	for {
 		sessions := f.list()
 		for _, s := range sessions {
 			s.endIfIdle()
+			if time.Since(began) > f.options.Open {
+				s.endIfWaiting()
+			}
 		}
 		if len(sessions) == 0 {
 			return 0
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -162,8 +162,9 @@
 	return s.active || s.lease != nil
 }
 
-// endIfIdle closes the connection if no request is in flight and no transaction
-// is open, after telling the caller that the proxy is leaving.
+// endIfIdle ends the wait for the next request if none is in flight and no
+// transaction is open. A request that has just been read is still answered: the
+// connection is closed by the duty that reads it.
 func (s *Session) endIfIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -171,8 +172,26 @@
 		return
 	}
 	s.ending = true
-	s.front.refuse(s.Conn, fault.New(fault.Leaving, "wait for request", "this proxy is leaving"))
-	_ = s.Close()
+	_ = s.SetReadDeadline(time.Now())
+}
+
+// endIfWaiting ends the wait for the next request of an open transaction, which is
+// rolled back.
+func (s *Session) endIfWaiting() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active || s.ending {
+		return
+	}
+	s.ending = true
+	_ = s.SetReadDeadline(time.Now())
+}
+
+// Ending tells whether the wait for requests was ended.
+func (s *Session) Ending() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.ending
 }
 
 // Rollback ends the open transaction, if there is one: its connection is closed,
--- a/internal/gate/dispatch.go
+++ b/internal/gate/dispatch.go
@@ -12,6 +12,7 @@
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/internal/view"
@@ -44,6 +45,9 @@
 	_ Bases = (*ctrl.Bases)(nil)
 )
 
+// Dialer returns the control of a member. Tests replace it.
+type Dialer func(m view.Member) member.Dispatcher
+
 // Options are what a Dispatch depends on.
 type Options struct {
 	Host string
@@ -56,7 +60,7 @@
 	Peers   Peers
 	Books   Books
 	Bases   Bases
-	Dial    ctrl.Dialer
+	Dial    Dialer
 	Log     *event.Log
 }
 
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -45,7 +45,7 @@
 
 // dispatched is a member that only knows its dispatcher.
 type dispatched struct {
-	member.Control
+	member.Dispatcher
 	mu    sync.Mutex
 	named string
 	// evicts makes the member name nobody after it was asked to name a host.
@@ -112,10 +112,10 @@
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
 	peers := alone{}
-	dial := func(view.Member) member.Control { return &connection{dispatched: target} }
+	dial := func(view.Member) member.Dispatcher { return &connection{dispatched: target} }
 	only := view.Member{Name: "m0", Address: "a"}
 	base, stopBase := ctrl.NewBase(ctrl.BaseOptions{
-		Host: self, Rules: elect.RulesFor(time.Second), Poll: time.Second, Timeout: time.Second, Watchers: peers, Log: log, Dial: dial,
+		Host: self, Rules: elect.RulesFor(time.Second), Poll: time.Second, Timeout: time.Second, Watchers: peers, Log: log, Dial: func(m view.Member) member.Control { return dial(m) },
 	}, "stock", []view.Member{only})
 	t.Cleanup(stopBase)
 	watched := listing{duty.NewCell[[]ctrl.Watched](nil)}
--- a/internal/gate/reclaim.go
+++ b/internal/gate/reclaim.go
@@ -11,7 +11,7 @@
 // their word may have been lost, or they ended, or never heard of it. A proxy
 // may begin work on a slot for slotLife after it was last told of it, so that
 // work on one that it was told of earlier shows at the member, if there is any.
-func (s *station) reclaim(ctx context.Context, control member.Control, g *Gate) {
+func (s *station) reclaim(ctx context.Context, control member.Dispatcher, g *Gate) {
 	d := s.dispatch
 	told := time.Now().Add(-firstWait)
 	byHost := make(map[string][]*remote)
@@ -29,7 +29,7 @@
 	}
 }
 
-func (s *station) busy(ctx context.Context, control member.Control, host string) (int, error) {
+func (s *station) busy(ctx context.Context, control member.Dispatcher, host string) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, s.dispatch.options.Timeout)
 	defer cancel()
 	return control.Busy(ctx, host)
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -259,7 +259,7 @@
 
 // begin takes the dispatch, and returns how many slots are still in use after
 // those that the dispatcher before gave out have lapsed, and when that was asked.
-func (s *station) begin(ctx context.Context, control member.Control) (taken int, asked time.Time, err error) {
+func (s *station) begin(ctx context.Context, control member.Dispatcher) (taken int, asked time.Time, err error) {
 	_, err = s.ask(ctx, func(ctx context.Context) (group.State, error) {
 		return control.Lead(ctx, s.dispatch.options.Host)
 	})
@@ -277,7 +277,7 @@
 
 // keep tries the leading connection until it fails. Slots that were in use from
 // before are added to the gate as the member is found to use fewer.
-func (s *station) keep(ctx context.Context, control member.Control, g *Gate, taken int) {
+func (s *station) keep(ctx context.Context, control member.Dispatcher, g *Gate, taken int) {
 	for {
 		if !g.await(ctx, taken == 0) {
 			return
--- a/internal/gate/world_test.go
+++ b/internal/gate/world_test.go
@@ -118,9 +118,9 @@
 	h := &fakeHost{world: w, name: name, heard: make(map[string]time.Time), lines: make(map[string]chan message)}
 	ctx, cancel := context.WithCancel(context.Background())
 	h.ctx = ctx
-	dial := func(view.Member) member.Control { return &fakeControl{host: h} }
+	dial := func(view.Member) member.Dispatcher { return &fakeControl{host: h} }
 	base, stopBase := ctrl.NewBase(ctrl.BaseOptions{
-		Host: name, Rules: elect.RulesFor(time.Hour), Watchers: h, Poll: 250 * time.Millisecond, Timeout: askTimeout, Log: w.log, Dial: dial,
+		Host: name, Rules: elect.RulesFor(time.Hour), Watchers: h, Poll: 250 * time.Millisecond, Timeout: askTimeout, Log: w.log, Dial: func(m view.Member) member.Control { return dial(m) },
 	}, "stock", []view.Member{w.only})
 	listed := book.Database{Name: "stock", Slots: slotCount, Members: []view.Member{w.only}}
 	dispatch, stopDispatch := gate.NewDispatch(gate.Options{
@@ -380,7 +380,7 @@
 
 // fakeControl is the member as one host reaches it.
 type fakeControl struct {
-	member.Control
+	member.Dispatcher
 	host  *fakeHost
 	leads bool
 }
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -10,19 +10,36 @@
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
+// Warrant is the right to give a promotion's orders.
+type Warrant struct {
+	// Term is the term that members are asked to promise.
+	Term group.Term
+	// Promoter names whose attempt it is.
+	Promoter string
+	// Token grows with every claim of the database.
+	Token uint64
+}
+
 // Control is what the proxy asks and orders of one member.
 type Control interface {
 	// Ask returns the member's state.
 	Ask(ctx context.Context) (group.State, error)
 	// Fence makes the member promise a term to a promoter. It returns
 	// *RefusedError if the member has promised otherwise. It is idempotent.
-	Fence(ctx context.Context, term group.Term, promoter string) (group.State, error)
+	Fence(ctx context.Context, w Warrant) (group.State, error)
 	// Promote makes the member the primary of a term that it promised to the
 	// promoter. It returns *RefusedError if it has not. It is idempotent.
-	Promote(ctx context.Context, term group.Term, promoter string) (group.State, error)
+	Promote(ctx context.Context, w Warrant) (group.State, error)
 	// Follow makes the member a replica of the primary of a term. It returns
 	// *RefusedError if the member has promised a later term. It is idempotent.
 	Follow(ctx context.Context, term group.Term, leader string, starts []group.Start) (group.State, error)
+	// Close ends the connection, if one is open.
+	Close()
+}
+
+// Dispatcher is a Control of a member that knows which host gives out its slots.
+type Dispatcher interface {
+	Control
 	// Lead makes a host the dispatcher of the member's slots for as long as this
 	// connection lasts. It returns *RefusedError if another host is.
 	Lead(ctx context.Context, host string) (group.State, error)
@@ -34,10 +51,15 @@
 	// Running returns which of some connections, by their process IDs, run a
 	// statement.
 	Running(ctx context.Context, processIDs []uint32) ([]uint32, error)
-	// Close ends the connection, if one is open.
-	Close()
 }
 
+// BusyError reports that a member was not asked, since work uses all connections
+// that this proxy may have to it.
+type BusyError struct{ Member string }
+
+// Error implements error.
+func (e *BusyError) Error() string { return "ask " + e.Member + ": all connections are in use" }
+
 // RefusedError reports an order that the member's promises forbid.
 type RefusedError struct {
 	Member string
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -35,7 +35,9 @@
 	Open func(ctx context.Context, mode Mode) (Line, error)
 	// Control returns a control of the member, by which lent connections are
 	// found silent; nil stands for a protocol that cannot tell them.
-	Control func() Control
+	Control func() Dispatcher
+	// Modeless tells that the protocol's connections are the same in all modes.
+	Modeless bool
 	// Limit is how many connections the pool holds at most.
 	Limit int
 	// Check is how long a connection may idle before it is tried before reuse.
@@ -58,6 +60,9 @@
 // Get lends a connection. It waits for one until the context ends. No part of
 // any work has been sent when it fails, so its faults are all not run.
 func (p *Pool) Get(ctx context.Context, mode Mode) (*Conn, error) {
+	if p.options.Modeless {
+		mode = ReadWrite
+	}
 	select {
 	case p.permits <- struct{}{}:
 	case <-ctx.Done():
@@ -78,6 +83,15 @@
 	return c, nil
 }
 
+// TryGet lends a connection if one may be had at once, and returns *BusyError if
+// work uses all of them.
+func (p *Pool) TryGet(ctx context.Context, mode Mode) (*Conn, error) {
+	if len(p.permits) == cap(p.permits) {
+		return nil, &BusyError{Member: p.options.Address}
+	}
+	return p.Get(ctx, mode)
+}
+
 // take finds an idle connection that still answers, or opens one.
 func (p *Pool) take(ctx context.Context, mode Mode) (*Conn, error) {
 	for {
--- a/internal/pgfrt/pgfrt.go
+++ b/internal/pgfrt/pgfrt.go
@@ -170,7 +170,7 @@
 		return s.answerLocal(batch)
 	}
 	if !s.Begin() {
-		return s.abort(fault.New(fault.Leaving, "read request", "this proxy is leaving"))
+		return fault.New(fault.Leaving, "read request", "this proxy is leaving")
 	}
 	defer s.End()
 	x := pgrun.New(batch, s.out)
--- a/internal/pgmem/link.go
+++ b/internal/pgmem/link.go
@@ -22,7 +22,7 @@
 
 const statusWords = 9
 
-// Link is a member.Control over one connection, opened when it is needed and closed
+// Link is a member.Dispatcher over one connection, opened when it is needed and closed
 // after any failure. It is not for concurrent use.
 type Link struct {
 	address string
@@ -31,7 +31,7 @@
 	status  *pgconn.StatementDescription
 }
 
-var _ member.Control = (*Link)(nil)
+var _ member.Dispatcher = (*Link)(nil)
 
 // NewLink returns a link to the member at address (IP:port).
 func NewLink(address string, login Login) *Link {
@@ -65,13 +65,13 @@
 }
 
 // Fence implements member.Control.
-func (l *Link) Fence(ctx context.Context, term group.Term, promoter string) (group.State, error) {
-	return l.query(ctx, fmt.Sprintf("SELECT poplar_fence(%d, '%s')", term, promoter))
+func (l *Link) Fence(ctx context.Context, w member.Warrant) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_fence(%d, '%s')", w.Term, w.Promoter))
 }
 
 // Promote implements member.Control.
-func (l *Link) Promote(ctx context.Context, term group.Term, promoter string) (group.State, error) {
-	return l.query(ctx, fmt.Sprintf("SELECT poplar_promote(%d, '%s')", term, promoter))
+func (l *Link) Promote(ctx context.Context, w member.Warrant) (group.State, error) {
+	return l.query(ctx, fmt.Sprintf("SELECT poplar_promote(%d, '%s')", w.Term, w.Promoter))
 }
 
 // Follow implements member.Control.
@@ -79,17 +79,17 @@
 	return l.query(ctx, fmt.Sprintf("SELECT poplar_follow(%d, '%s', '%s')", term, leader, group.FormatStarts(starts)))
 }
 
-// Lead implements member.Control.
+// Lead implements member.Dispatcher.
 func (l *Link) Lead(ctx context.Context, host string) (group.State, error) {
 	return l.query(ctx, fmt.Sprintf("SELECT poplar_lead('%s')", host))
 }
 
-// Evict implements member.Control.
+// Evict implements member.Dispatcher.
 func (l *Link) Evict(ctx context.Context, host string) (group.State, error) {
 	return l.query(ctx, fmt.Sprintf("SELECT poplar_evict('%s')", host))
 }
 
-// Busy implements member.Control.
+// Busy implements member.Dispatcher.
 func (l *Link) Busy(ctx context.Context, host string) (int, error) {
 	text, err := l.queryText(ctx, fmt.Sprintf("SELECT poplar_busy('%s')", host))
 	if err != nil {
@@ -102,7 +102,7 @@
 	return count, nil
 }
 
-// Running implements member.Control.
+// Running implements member.Dispatcher.
 func (l *Link) Running(ctx context.Context, processIDs []uint32) ([]uint32, error) {
 	var words []string
 	for _, id := range processIDs {
--- a/internal/pgrun/pgrun.go
+++ b/internal/pgrun/pgrun.go
@@ -43,6 +43,9 @@
 	return listed
 }
 
+// Proves implements chain.Exchange: a primary that was replaced may still answer.
+func (*Exchange) Proves() bool { return false }
+
 // Run implements chain.Exchange.
 func (x *Exchange) Run(line member.Line, o chain.Order) (chain.Answer, error) {
 	conn := line.(*pgmem.Conn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -27,7 +27,9 @@
 
 // Member describes one member of a database.
 type Member struct {
-	Name       string
+	Name string
+	// Database is the name of the member's database.
+	Database   string `json:",omitempty"`
 	Address    string
 	DataCentre string
 	Region     string
@@ -236,6 +238,10 @@
 	if !found || primary.State.Fenced() {
 		return Point{}, false
 	}
+	floor := group.Floor{Term: primary.State.Term, Position: primary.State.Received}
+	if primary.State.Led {
+		return Point{Floor: floor, Asked: primary.Asked}, true
+	}
 	var asked []time.Time
 	for _, r := range v.reports {
 		if r.State.Term == primary.State.Term && !r.State.Fenced() {
@@ -251,7 +257,6 @@
 	if primary.Asked.Before(since) {
 		since = primary.Asked
 	}
-	floor := group.Floor{Term: primary.State.Term, Position: primary.State.Received}
 	return Point{Floor: floor, Asked: since}, true
 }
 
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -38,6 +38,8 @@
 const (
 	// Protocol is a message that the proxy could not read or does not serve.
 	Protocol Kind = iota
+	// Oversize is a message that is longer than the protocol allows.
+	Oversize
 	// Denied is a caller that may not use the service, or a failed login.
 	Denied
 	// Unlisted is a kind of work that the sheet does not list.
@@ -58,6 +60,9 @@
 	Unreachable
 	// Undispatched is work for a member whose slots no proxy gives out.
 	Undispatched
+	// Behind is a read that a member refused because it lacks a position that the
+	// read must see.
+	Behind
 	// Severed is work whose connection ended before its answer was complete.
 	Severed
 	// Unconfirmed is a write that no majority confirmed in its own term.
@@ -75,6 +80,7 @@
 
 var classes = [kinds]class{
 	Protocol:     {"08P01", NotRun, "protocol"},
+	Oversize:     {"54000", NotRun, "oversize"},
 	Denied:       {"28000", NotRun, "denied"},
 	Unlisted:     {"PN001", NotRun, "unlisted"},
 	Leaving:      {"PN002", NotRun, "leaving"},
@@ -85,6 +91,7 @@
 	FloorLost:    {"PN007", NotRun, "floor-lost"},
 	Unreachable:  {"PN008", NotRun, "unreachable"},
 	Undispatched: {"PN009", NotRun, "undispatched"},
+	Behind:       {"PN010", NotRun, "behind"},
 	Severed:      {"PU001", Unknown, "severed"},
 	Unconfirmed:  {"PU002", Unknown, "unconfirmed"},
 	Oversized:    {"PU003", Unknown, "oversized"},
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -109,6 +109,9 @@
 	Received Position
 	// Applied is the position that the member's reads see.
 	Applied Position
+	// Led tells that the answer itself proves that no other primary had been promoted
+	// when the member was asked.
+	Led bool
 	// Dispatcher is the host that gives out the member's slots, or empty.
 	Dispatcher string
 	// Active counts the connections that run a statement or have a transaction
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -82,11 +82,17 @@
 // Rows returns a copy of the rows in the order of the export.
 func (s Sheet) Rows() []Row { return slices.Clone(s.rows) }
 
+// AnyCaller stands for every caller, on services that are open to all.
+const AnyCaller = "*"
+
+// Of returns the sheet of rows that were checked elsewhere.
+func Of(rows []Row) Sheet { return Sheet{rows: slices.Clone(rows)} }
+
 // Access returns the rows of a caller on a service, and whether it has any.
 func (s Sheet) Access(service, caller string) ([]Row, bool) {
 	var list []Row
 	for _, r := range s.rows {
-		if r.Service == service && r.Caller == caller {
+		if r.Service == service && (r.Caller == caller || r.Caller == AnyCaller) {
 			list = append(list, r)
 		}
 	}
