--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -149,6 +149,8 @@
 	Committed group.Floor
 	// Kept is the position of a write that the member confirmed itself, or zero.
 	Kept group.Floor
+	// At is the position of the member that it told with the answer, or zero.
+	At group.Floor
 	// Led is the member's state, if the answer proves that it leads.
 	Led group.State
 }
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -8,6 +8,7 @@
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
 // run sends the request and passes the answer on.
@@ -63,17 +64,21 @@
 	return nil
 }
 
-// assertRead holds the member's last report against the caller's own floor: a
-// plain comparison, beside the decision by which the member was chosen.
+// assertRead holds what the member told with the answer, or else its last report,
+// against the caller's own floor: a plain comparison, beside the decision by which the
+// member was chosen.
 func (f *filters) assertRead(r *Request) {
 	if r.pinned || r.Lease.MayWrite || r.Floor.IsZero() {
 		return
 	}
-	report, _ := r.base.View().Report(r.member.Name)
-	s := report.State
-	sees := s.Term > r.Floor.Term || (s.Term == r.Floor.Term && s.Applied >= r.Floor.Position)
+	at := r.Answer.At
+	if at.IsZero() {
+		report, _ := r.base.View().Report(r.member.Name)
+		at = group.Floor{Term: report.State.Term, Position: report.State.Applied}
+	}
+	sees := !at.Less(r.Floor)
 	f.Guard.Assert(guard.ReadYourWrites, sees, event.Fields{
-		"CallerID": r.Caller.ID, "Member": r.member.Name, "Floor": r.Floor.String(), "Term": s.Term, "Applied": s.Applied,
+		"CallerID": r.Caller.ID, "Member": r.member.Name, "Floor": r.Floor.String(), "Term": at.Term, "Applied": at.Position,
 	})
 }
 
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -128,7 +128,7 @@
 		return x.turned(line, main, last.Phase)
 	}
 	x.reply, x.reply.Phase, x.session.Phase = main, last.Phase, last.Phase
-	answer := chain.Answer{Idle: last.Phase == stmt.Idle, Whole: true}
+	answer := chain.Answer{Idle: last.Phase == stmt.Idle, Whole: true, At: last.Position}
 	if main.Refusal != Accepted {
 		return answer, nil
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -81,7 +81,11 @@
 	defer s.mu.Unlock()
 	g, found := s.gates[m.Name]
 	if !found {
-		g = &sized{Gate: gate.New(slots.DefaultRules(s.options.Queue), size, time.Now().Add(never)), size: size}
+		rules := slots.DefaultRules(s.options.Queue)
+		// A transaction holds its place through the caller's pauses, so that the time
+		// that work has held one tells nothing of the time that other work needs.
+		rules.Early = false
+		g = &sized{Gate: gate.New(rules, size, time.Now().Add(never)), size: size}
 		s.gates[m.Name] = g
 	}
 	if size != g.size {
