Members are kept through gaps of the list; a failed transaction ends at its member

When the store came back, the entries of most members were missing for two seconds: the members were dropped, a majority was counted over those left, and requests of open transactions were refused while their connection stayed lent, so that the caller's next statement ran inside the transaction.

Change: roster keeps a missing member for 4 s; flow opens a transaction before its first statement, opens it anew on another member, and ends what is open when a request fails.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -184,6 +184,7 @@
 		Books: books,
 		Open:  p.open,
 		Hosts: mesh.SetHosts,
+		Hold:  p.hold,
 	})
 	p.bind(bases, books)
 	onStop(lc, cleanUp)
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -55,6 +55,7 @@
 		protocol: flow.Protocol{Wrap: caller.New},
 		rules:    lineRules(s),
 		everyone: true,
+		hold:     memberHold,
 		slots:    func(*gate.Dispatch) chain.Slots { return shares },
 		queues:   shares.Queues,
 		watched:  noDispatcher{duty.NewCell[[]ctrl.Watched](nil)},
@@ -90,6 +91,10 @@
 	return p
 }
 
+// memberHold is how long a member that is missing from the list is kept: entries that
+// lapsed come back within about two seconds of the store's return.
+const memberHold = 4 * time.Second
+
 // maxLines is how many connections a pool holds at most, whatever the members take.
 const maxLines = 1000
 
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -38,6 +38,8 @@
 	queues func() map[string]*gate.Gate
 	// watched tells which databases have a dispatcher.
 	watched gate.Bases
+	// hold is how long a member that is missing from the list is kept.
+	hold time.Duration
 	// bind is told of the parts that are built after the ports.
 	bind        func(*ctrl.Bases, *ctrl.Books)
 	answerGrace time.Duration
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -60,14 +60,15 @@
 }
 
 func (f *filters) refuse(r *Request) error {
+	if r.pinned {
+		r.base = r.Lease.base
+		return nil
+	}
 	base, found := f.Bases.Base(r.Work.Database)
 	if !found {
 		return fault.New(fault.NoPrimary, "admit", "the platform lists no database %q", r.Work.Database)
 	}
 	r.base = base
-	if r.pinned {
-		return nil
-	}
 	if f.Draining() {
 		return fault.New(fault.Leaving, "admit", "this proxy is leaving")
 	}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -43,6 +43,7 @@
 
 	pool *member.Pool
 	slot Slot
+	base *ctrl.Base
 }
 
 // Release gives the connection back. A connection that is not clean is closed.
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -11,6 +11,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/pick"
+	"poplarrouter.example/poplarrouter/internal/roster"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
@@ -26,6 +27,8 @@
 	// Open returns the pool of connections to a member of a database for callers'
 	// work, and its clean-up function.
 	Open func(database string, m view.Member) (*member.Pool, func())
+	// Hold is how long a member that is missing from the list is kept.
+	Hold time.Duration
 	// Hosts is told of each new list of hosts.
 	Hosts func([]book.Host)
 }
@@ -35,6 +38,8 @@
 	options BasesOptions
 
 	watched *duty.Cell[[]Watched]
+	// roster belongs to the duty that follows the documents.
+	roster roster.Roster
 
 	mu    sync.Mutex
 	bases map[string]*served
@@ -67,6 +72,7 @@
 func NewBases(options BasesOptions) (*Bases, func()) {
 	b := &Bases{options: options, watched: duty.NewCell[[]Watched](nil), bases: make(map[string]*served), pools: make(map[poolKey]ownedPool)}
 	b.options.Base.Replaced = b.sever
+	b.roster = roster.New(options.Hold)
 	stop := duty.Run(b.follow)
 	return b, func() {
 		stop()
@@ -165,13 +171,24 @@
 		b.apply(held)
 		select {
 		case <-changed:
+		case <-b.due():
 		case <-ctx.Done():
 			return nil
 		}
 	}
 }
 
+// due returns a channel that tells when the next missing member counts as gone.
+func (b *Bases) due() <-chan time.Time {
+	due, waits := b.roster.Due()
+	if !waits {
+		return nil
+	}
+	return time.After(time.Until(due))
+}
+
 func (b *Bases) apply(held book.Book) {
+	b.roster = b.roster.With(held.Databases(), time.Now())
 	if held.Serial(book.Hosts) > 0 {
 		b.options.Hosts(held.Hosts())
 	}
@@ -188,7 +205,9 @@
 	defer b.mu.Unlock()
 	hosts := held.LiveHosts()
 	var watched []Watched
-	for _, d := range held.Databases() {
+	listed := make(map[string]bool)
+	for _, d := range b.roster.Databases() {
+		listed[d.Name] = true
 		s, found := b.bases[d.Name]
 		if !found {
 			s = &served{}
@@ -200,7 +219,7 @@
 		watched = append(watched, Watched{Database: d, Base: s.base})
 	}
 	for name, s := range b.bases {
-		if _, listed := held.Database(name); !listed {
+		if !listed[name] {
 			stops = append(stops, s.stop)
 			delete(b.bases, name)
 		}
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -11,7 +11,9 @@
 
 // Exchange is one statement of a caller with its answer.
 type Exchange struct {
-	query   Query
+	query Query
+	// given is the session as it was before the statement, and session as it is.
+	given   stmt.Session
 	session stmt.Session
 	reply   Reply
 }
@@ -19,7 +21,7 @@
 var _ chain.Exchange = (*Exchange)(nil)
 
 // NewExchange returns the exchange of a query in a session.
-func NewExchange(q Query, s stmt.Session) *Exchange { return &Exchange{query: q, session: s} }
+func NewExchange(q Query, s stmt.Session) *Exchange { return &Exchange{query: q, given: s, session: s} }
 
 // Session returns the session behind the statement.
 func (x *Exchange) Session() stmt.Session { return x.session }
@@ -50,64 +52,78 @@
 // Sent implements chain.Exchange. The answer goes out as a whole after the run.
 func (*Exchange) Sent() bool { return false }
 
-// Discard implements chain.Exchange.
-func (x *Exchange) Discard() { x.reply = Reply{} }
+// Discard implements chain.Exchange. A transaction that was opened is gone with its
+// connection.
+func (x *Exchange) Discard() { x.reply, x.session = Reply{}, x.given }
 
 // Drop implements chain.Exchange.
 func (*Exchange) Drop() {}
 
-// flight is what goes to a member for one statement, in this order: what sets the
-// connection up, what opens the transaction, the statement, and what closes a
-// transaction that was opened for it alone.
+// flight is what goes to a member at a time, in this order: what sets the connection
+// up, what opens the transaction, the statement, and what closes a transaction that was
+// opened for it alone.
+//
+// A member that refuses to open a transaction runs what follows all the same, outside
+// of it. Therefore the first statement of a caller's transaction is sent only once the
+// transaction is open. A single read that must prove that the member leads may follow
+// at once: if the member does not lead, the answer is dropped.
 type flight struct {
 	queries []Query
-	// open and main are the places of the opening statement and of the caller's; open
-	// is -1 if nothing is opened.
+	// open and main are the places of the opening statement and of the caller's, or -1.
 	open int
 	main int
 	then stmt.Setup
 }
 
-// plan returns what goes to a member.
-func (x *Exchange) plan(setup stmt.Setup, o chain.Order) flight {
-	before, name, then := setup.Lacking(x.session, x.query.Statement)
-	f := flight{open: -1, then: then}
-	for _, st := range before {
-		f.queries = append(f.queries, Query{Statement: st})
+func (f *flight) add(q Query) int {
+	f.queries = append(f.queries, q)
+	return len(f.queries) - 1
+}
+
+// opening returns what opens a transaction of the caller at a member.
+func (x *Exchange) opening(setup stmt.Setup, o chain.Order) flight {
+	f := x.settingUp(setup, x.session.Start)
+	q := Query{ID: x.query.ID, Statement: x.session.Start}
+	if !o.Write {
+		q.Floor = o.Floor
 	}
+	f.open = f.add(q)
+	return f
+}
+
+// statement returns what runs the statement at a member.
+func (x *Exchange) statement(setup stmt.Setup, o chain.Order) flight {
+	f := x.settingUp(setup, x.query.Statement)
 	main := x.query
-	main.Prepared = name
-	single := x.session.Phase == stmt.Idle
-	reads := !o.Write
-	switch {
-	case x.opens():
-		f.open = len(f.queries)
-		opening := Query{ID: x.query.ID, Statement: x.session.Start}
-		if reads {
-			opening.Floor, main.Floor = o.Floor, o.Floor
-		}
-		f.queries = append(f.queries, opening)
-	case single && reads && o.Lead:
-		f.open = len(f.queries)
-		f.queries = append(f.queries, Query{Statement: stmt.Statement{Kind: stmt.Begin}})
-	case single && reads:
+	_, main.Prepared, _ = setup.Lacking(x.session, x.query.Statement)
+	reads := x.session.Phase == stmt.Idle && !o.Write
+	if reads && o.Lead {
+		f.open = f.add(Query{Statement: stmt.Statement{Kind: stmt.Begin}})
+	} else if reads {
 		main.Floor = o.Floor
 	}
-	f.main = len(f.queries)
-	f.queries = append(f.queries, main)
-	if single && f.open >= 0 {
-		f.queries = append(f.queries, Query{Statement: stmt.Statement{Kind: stmt.Rollback}})
+	f.main = f.add(main)
+	if f.open >= 0 {
+		f.add(Query{Statement: stmt.Statement{Kind: stmt.Rollback}})
 	}
 	return f
 }
 
-// Run implements chain.Exchange.
-func (x *Exchange) Run(l member.Line, o chain.Order) (chain.Answer, error) {
-	line := l.(*Line) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
-	f := x.plan(line.setup, o)
+func (x *Exchange) settingUp(setup stmt.Setup, st stmt.Statement) flight {
+	before, _, then := setup.Lacking(x.session, st)
+	f := flight{open: -1, main: -1, then: then}
+	for _, b := range before {
+		f.add(Query{Statement: b})
+	}
+	return f
+}
+
+// send sends a flight and returns the replies. It fails if the connection could not be
+// set up.
+func (f flight) send(line *Line) ([]Reply, error) {
 	replies, err := line.exchange(f.queries)
 	if err != nil {
-		return chain.Answer{}, err
+		return nil, err
 	}
 	line.setup = f.then
 	setting := f.main
@@ -116,15 +132,37 @@
 	}
 	for _, r := range replies[:setting] {
 		if r.Refusal != Accepted {
-			return chain.Answer{}, fault.New(fault.Severed, "set up connection", "the member refused a value or a prepared statement of the session: %s", r.Text)
+			return nil, fault.New(fault.Severed, "set up connection", "the member refused a value or a prepared statement of the session: %s", r.Text)
 		}
 	}
+	return replies, nil
+}
+
+// Run implements chain.Exchange.
+func (x *Exchange) Run(l member.Line, o chain.Order) (chain.Answer, error) {
+	line := l.(*Line) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
+	if x.opens() {
+		f := x.opening(line.setup, o)
+		replies, err := f.send(line)
+		if err != nil {
+			return chain.Answer{}, err
+		}
+		if opened := replies[f.open]; opened.Refusal != Accepted {
+			return x.turned(line, opened, opened.Phase)
+		}
+		x.session.Phase = stmt.Open
+	}
+	f := x.statement(line.setup, o)
+	replies, err := f.send(line)
+	if err != nil {
+		return chain.Answer{}, err
+	}
 	last := replies[len(replies)-1]
 	if f.open >= 0 && replies[f.open].Refusal != Accepted {
 		return x.turned(line, replies[f.open], last.Phase)
 	}
 	main := replies[f.main]
-	if main.Refusal != Accepted && !o.Pinned && movable(main.Refusal) {
+	if main.Refusal != Accepted && x.session.Phase == stmt.Idle && movable(main.Refusal) {
 		return x.turned(line, main, last.Phase)
 	}
 	x.reply, x.reply.Phase, x.session.Phase = main, last.Phase, last.Phase
@@ -132,7 +170,7 @@
 	if main.Refusal != Accepted {
 		return answer, nil
 	}
-	if o.Write || (f.open >= 0 && o.Lead) {
+	if o.Write || o.Lead {
 		answer.Led = stateOf(group.Primary, last.Position)
 	}
 	if o.Write && answer.Idle && x.query.Statement.Kind != stmt.Rollback {
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -170,6 +170,8 @@
 	if err := s.Do(ctx, r); err != nil {
 		reply, state := x.Fail(err)
 		s.state = state
+		// Whatever is open at a member ends with its connection.
+		s.Rollback()
 		return reply
 	}
 	s.state = x.Session()
