Work at a primary rests on a lease that a majority proves; earlier orders are sealed off

A primary that is cut off from its replicas goes on to lead in its own eyes: it opened transactions 0.5 s after another one had been promoted. LOST: an order for a promotion whose answer was lost was carried out after its attempt had been given up, and a replica had been let go meanwhile.

Ruled out: the wrapped read itself (the member accepted its transaction); a commit of nothing counted as proof at first, and a read whose primary changed between its choice and its run was sent without proof: both mended on the way.

Change: view proves points by acknowledged commits and by entries that replicas hold after the primary was seen without them; only when these fail is a replica asked for its state, which is paid for. Reads and new transactions at a primary need a proof at most 1 s old when the answer arrives, and a promotion waits that time out unless the former primary has promised to step down. A claim that follows another one of the same term first seals orders with lower tokens off. Replicas are no longer let go: an attempt that was given up is carried on. Callers are told BUSY, not NODB, before a sheet is known.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -56,10 +56,16 @@
 		rules:    lineRules(s),
 		everyone: true,
 		hold:     memberHold,
-		slots:    func(*gate.Dispatch) chain.Slots { return shares },
-		queues:   shares.Queues,
-		watched:  noDispatcher{duty.NewCell[[]ctrl.Watched](nil)},
-		bind:     func(bases *ctrl.Bases, books *ctrl.Books) { l.bases, l.books = bases, books },
+		lease:    readLease,
+		spacing:  lineSpacing,
+		proof:    readLease / 2,
+		seal: func(ctx context.Context, database string, token uint64) error {
+			return flow.Seal(ctx, promoter, database, token)
+		},
+		slots:   func(*gate.Dispatch) chain.Slots { return shares },
+		queues:  shares.Queues,
+		watched: noDispatcher{duty.NewCell[[]ctrl.Watched](nil)},
+		bind:    func(bases *ctrl.Bases, books *ctrl.Books) { l.bases, l.books = bases, books },
 	}
 	dial := func(ctx context.Context, m view.Member, kind meter.Kind) (flow.Orders, error) {
 		return memb.Dial(ctx, bytes.Dial(kind, m.Region), m.Database, m, s.Host)
@@ -91,6 +97,17 @@
 	return p
 }
 
+const (
+	// lineSpacing is the pause between questions to a member while requests wait: about
+	// the time between two commits of a database.
+	lineSpacing = 20 * time.Millisecond
+	// readLease is how long reads at a primary rest on the last proof that it leads.
+	// The nearest replica is asked twice within it.
+	readLease = time.Second
+	// leaseMargin covers the drift between the clocks of two hosts over a lease.
+	leaseMargin = 50 * time.Millisecond
+)
+
 // memberHold is how long a member that is missing from the list is kept: entries that
 // lapsed come back within about two seconds of the store's return.
 const memberHold = 4 * time.Second
@@ -103,7 +120,8 @@
 func lineRules(s config.Settings) elect.Rules {
 	rules := elect.RulesFor(s.Timing.SuspectMs.Duration())
 	rules.SharedTerms = true
-	rules.Attempt = 3 * s.Timing.SuspectMs.Duration()
+	rules.Attempt = 4 * s.Timing.SuspectMs.Duration()
+	rules.Lease = readLease + leaseMargin
 	return rules
 }
 
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"context"
 	"time"
 
 	"go.uber.org/fx"
@@ -43,6 +44,12 @@
 	// bind is told of the parts that are built after the ports.
 	bind        func(*ctrl.Bases, *ctrl.Books)
 	answerGrace time.Duration
+	lease       time.Duration
+	// spacing and proof are those of the watch over a database.
+	spacing time.Duration
+	proof   time.Duration
+	// seal makes sure that no earlier order for a promotion is carried out any more.
+	seal        func(ctx context.Context, database string, token uint64) error
 	replicaWait time.Duration
 }
 
@@ -69,6 +76,8 @@
 const (
 	postgresAnswerGrace = 2 * time.Second
 	postgresReplicaWait = 20 * time.Millisecond
+	// postgresSpacing is the pause between questions while requests wait.
+	postgresSpacing = time.Millisecond
 )
 
 func newPostgresPorts(s config.Settings, bytes *meter.Meter) *ports {
@@ -78,6 +87,7 @@
 		rules:       elect.RulesFor(s.Timing.SuspectMs.Duration()),
 		answerGrace: postgresAnswerGrace,
 		replicaWait: postgresReplicaWait,
+		spacing:     postgresSpacing,
 	}
 	p.open = func(database string, m view.Member) (*member.Pool, func()) {
 		login := loginOf(s, m, meter.Work, bytes)
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -52,6 +52,9 @@
 	// Connections is how many connections each member of a database takes, where
 	// the platform tells that with the sheet.
 	Connections map[string]int `json:",omitempty"`
+	// Replicated tells which databases acknowledge a write only once a replica has
+	// received it.
+	Replicated map[string]bool `json:",omitempty"`
 	// IdleTransaction is how long a caller may leave a transaction idle, or 0.
 	IdleTransaction time.Duration `json:",omitempty"`
 }
@@ -156,6 +159,10 @@
 	return d.Connections
 }
 
+// Replicated tells whether a database acknowledges a write only once a replica has
+// received it.
+func (b Book) Replicated(database string) bool { return b.loaded.Replicated[database] }
+
 // Databases returns the databases in the order of the list.
 func (b Book) Databases() []Database { return b.databases }
 
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -14,7 +14,8 @@
 func (f *filters) classify(next Handler) Handler {
 	return func(ctx context.Context, r *Request) error {
 		r.pinned = r.Lease != nil
-		rows, listed := f.Books.Book().Sheet().Access(r.Caller.Service, r.Caller.Name)
+		held := f.Books.Book()
+		rows, listed := held.Sheet().Access(r.Caller.Service, r.Caller.Name)
 		if !listed {
 			return fault.New(fault.Denied, "classify", "caller %q is no longer allowed on service %q", r.Caller.Name, r.Caller.Service)
 		}
@@ -26,7 +27,7 @@
 		if r.pinned {
 			work.Access = accessOf(r.Lease)
 		}
-		r.Work = work
+		r.Work, r.replicated = work, held.Replicated(work.Database)
 		r.Deadline = r.Arrived.Add(work.Deadline)
 		return next(ctx, r)
 	}
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -83,12 +83,16 @@
 	// Committed is the position of the request's write, confirmed, or zero.
 	Committed group.Floor
 
-	base    *ctrl.Base
-	pinned  bool
-	targets []view.Member
-	need    group.Floor
-	member  view.Member
-	sends   int
+	base   *ctrl.Base
+	pinned bool
+	// lead tells that the member must prove that it leads, since no floor is known.
+	lead bool
+	// replicated tells that the database acknowledges only what a replica has received.
+	replicated bool
+	targets    []view.Member
+	need       group.Floor
+	member     view.Member
+	sends      int
 }
 
 // Exchange is one request of a caller with its answer, in the protocol that the
@@ -122,6 +126,9 @@
 	Pinned bool
 	// Floor is what the member must have applied, as far as it can tell itself.
 	Floor group.Floor
+	// Replicated tells that the primary acknowledges a write only once a replica has
+	// received it.
+	Replicated bool
 	// Lead tells that the answer to a read must prove that the member leads.
 	Lead bool
 	// HeldBytes bounds what is held back.
@@ -150,6 +157,8 @@
 	Committed group.Floor
 	// Kept is the position of a write that the member confirmed itself, or zero.
 	Kept group.Floor
+	// Leased tells that the answer rests on a lease of the primary.
+	Leased bool
 	// At is the position of the member that it told with the answer, or zero.
 	At group.Floor
 	// Led is the member's state, if the answer proves that it leads.
@@ -189,6 +198,9 @@
 	// ReplicaWait is how long a read waits for a replica of its own region to reach
 	// its floor before it goes further.
 	ReplicaWait time.Duration
+	// Lease is how long work at a primary may rest on the last proof that it leads,
+	// where its answers alone do not prove it.
+	Lease time.Duration
 	// Confirm is how long a write waits for its confirmation.
 	Confirm time.Duration
 	// Draining tells whether the proxy is leaving.
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -64,6 +64,7 @@
 // routeRead finds the members that may serve a read.
 func (f *filters) routeRead(ctx context.Context, r *Request, next Handler) error {
 	if r.Work.AcceptedAge == 0 && !r.Token && r.Exchange.Proves() {
+		r.lead = true
 		return f.routeWrite(ctx, r, next)
 	}
 	found, err := f.finder().Find(ctx, r.base, Want{
@@ -85,7 +86,7 @@
 	return event.Fields{
 		"Request": r.Name, "Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Database": r.Work.Database, "Kind": r.Work.Kind,
 		"Rank": int(r.Work.Rank), "Member": m.Name, "Region": m.Region, "Reason": reason,
-		"Term": term, "Floor": r.need.String(),
+		"Term": term, "Floor": r.need.String(), "ProvenMs": time.Since(r.base.View().Proven()).Milliseconds(),
 	}
 }
 
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -12,7 +12,7 @@
 )
 
 // run sends the request and passes the answer on.
-func (f *filters) run(_ context.Context, r *Request) error {
+func (f *filters) run(ctx context.Context, r *Request) error {
 	l := r.Lease
 	r.member = l.Member
 	f.Guard.Assert(guard.OneCaller, l.Owner == r.Caller.ID, event.Fields{"CallerID": r.Caller.ID, "Owner": l.Owner})
@@ -34,8 +34,11 @@
 	r.sends++
 	r.Track(l)
 	defer r.Track(nil)
-	lead := !l.MayWrite && !r.pinned && r.Exchange.Proves() && isPrimary(r.base.View(), l.Member)
-	order := Order{Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, Lead: lead, HeldBytes: f.HeldBytes, Deadline: deadline}
+	lead := r.lead || (!l.MayWrite && !r.pinned && r.Exchange.Proves() && isPrimary(r.base.View(), l.Member))
+	order := Order{
+		Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, Lead: lead, HeldBytes: f.HeldBytes, Deadline: deadline,
+		Replicated: r.replicated,
+	}
 	asked := time.Now()
 	answer, err := r.Exchange.Run(l.Line, order)
 	r.Answer = answer
@@ -51,6 +54,11 @@
 	if answer.Led.Led {
 		r.base.Observe(view.Report{Member: l.Member.Name, Asked: asked, Heard: time.Now(), State: answer.Led})
 	}
+	if answer.Leased && !f.leads(ctx, r, time.Now()) {
+		f.drop(r, false)
+		r.sends--
+		return fault.New(fault.Unproven, "run", "no majority of database %q proved in time that %s still leads", r.Work.Database, l.Member.Name)
+	}
 	f.Guard.Assert(guard.WholeAnswer, answer.Whole, event.Fields{"CallerID": r.Caller.ID, "Member": l.Member.Name})
 	f.assertRead(r)
 	r.Committed = answer.Committed
@@ -64,6 +72,18 @@
 	return nil
 }
 
+// leads tells whether no other primary can have acknowledged anything before an answer
+// of the primary arrived: a majority was proven to have none less than a lease before,
+// or is soon.
+func (f *filters) leads(ctx context.Context, r *Request, arrived time.Time) bool {
+	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
+	defer cancel()
+	since := arrived.Add(-f.Lease)
+	v, proven := r.base.Await(ctx, func(v view.View) bool { return v.Proven().After(since) })
+	primary, found := v.Primary()
+	return proven && found && primary.Member == r.member.Name
+}
+
 // assertRead holds what the member told with the answer, or else its last report,
 // against the caller's own floor: a plain comparison, beside the decision by which the
 // member was chosen.
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -30,15 +31,23 @@
 
 // BaseOptions are what a Base depends on.
 type BaseOptions struct {
-	Host     string
-	Region   string
-	Rules    elect.Rules
-	Poll     time.Duration
+	Host   string
+	Region string
+	Rules  elect.Rules
+	Poll   time.Duration
+	// Spacing is the pause between questions to a member while requests wait for its
+	// answers, and Proof how old the last proof that the primary leads may be before
+	// members are asked for one.
+	Spacing  time.Duration
+	Proof    time.Duration
 	Timeout  time.Duration
 	Watchers Watchers
 	Store    store.Store
 	Dial     Dialer
-	Log      *event.Log
+	// Seal makes sure that no order for a promotion of a database with a lower token is
+	// carried out any more. It is nil where members refuse such orders themselves.
+	Seal func(ctx context.Context, database string, token uint64) error
+	Log  *event.Log
 	// Trace tells that each step of the election machine is logged.
 	Trace bool
 	// Replaced is told of a primary that gave way to another, unless it is nil.
@@ -68,18 +77,21 @@
 
 const (
 	inputRing = 1024
+	// leastSpacing is the pause between questions while requests wait, unless the
+	// options give another.
+	leastSpacing = time.Millisecond
 	// stepPeriod is how often the machine steps without an input, and
 	// idleStepPeriod how often for an idle database.
 	stepPeriod     = 50 * time.Millisecond
 	idleStepPeriod = 500 * time.Millisecond
-	// askSpacing is the pause between questions to a member while requests wait
-	// for its answers.
-	askSpacing = time.Millisecond
 )
 
 // NewBase starts the watch over a database, and returns it with its clean-up
 // function.
 func NewBase(options BaseOptions, name string, members []view.Member) (*Base, func()) {
+	if options.Spacing == 0 {
+		options.Spacing = leastSpacing
+	}
 	b := &Base{
 		options:  options,
 		name:     name,
@@ -109,6 +121,21 @@
 // Observe takes what an answer to a caller's work showed of a member.
 func (b *Base) Observe(r view.Report) { b.inputs.Offer(trace.Input{Report: &r}) }
 
+// partial completes a report that leaves out what the member has promised: that and the
+// term are those of its last report, until an entry of a later term shows.
+func partial(v view.View, r view.Report) view.Report {
+	was, heard := v.Report(r.Member)
+	if r.State.Partial && heard && was.State.Role == r.State.Role {
+		r.State.Term = max(r.State.Term, was.State.Term)
+		r.State.Fence = was.State.Fence
+		r.State.Starts = slices.Clone(r.State.Starts)
+		if n := len(r.State.Starts); n > 0 {
+			r.State.Starts[n-1].Term = r.State.Term
+		}
+	}
+	return r
+}
+
 // SetWatchers replaces the hosts that watch the database, in the order of their
 // claim on it.
 func (b *Base) SetWatchers(hosts []string) { b.watchers.Store(hosts) }
@@ -212,6 +239,8 @@
 	v := b.View()
 	switch {
 	case in.Report != nil:
+		completed := partial(v, *in.Report)
+		in.Report = &completed
 		b.noteReach(v, in.Report.Member)
 	case in.Silence != "":
 		b.noteSilence(v, in.Silence)
--- a/internal/ctrl/base_test.go
+++ b/internal/ctrl/base_test.go
@@ -25,7 +25,7 @@
 
 func (p placed) Close() {}
 
-func (p placed) Ask(context.Context) (group.State, error) {
+func (p placed) Ask(context.Context, bool) (group.State, error) {
 	return group.State{Role: group.Replica, Term: p.term}, nil
 }
 
--- a/internal/ctrl/order.go
+++ b/internal/ctrl/order.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/elect"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
@@ -85,18 +86,40 @@
 	}
 	_, err = b.options.Store.Put(ctx, key, body, version)
 	if err == nil {
-		return elect.Claimed{Won: true, Claim: mine}, nil
+		return b.won(ctx, old, mine)
 	}
 	current, _, readErr := b.readClaim(ctx, key)
 	if readErr != nil {
 		return elect.Claimed{}, errors.CombineErrors(err, readErr)
 	}
 	if current.Attempt == mine.Attempt {
-		return elect.Claimed{Won: true, Claim: mine}, nil
+		return b.won(ctx, old, mine)
 	}
 	return elect.Claimed{Conflict: true, Claim: current}, nil
 }
 
+// sealPause is the pause between tries to seal.
+const sealPause = 50 * time.Millisecond
+
+// won ends a claim that the store holds. Orders that were given under an earlier claim
+// may still be carried out: they are sealed off first, so that what members promise
+// from now on holds until this claim's own order.
+func (b *Base) won(ctx context.Context, old, mine elect.Claim) (elect.Claimed, error) {
+	if b.options.Seal == nil || old.Token == 0 {
+		return elect.Claimed{Won: true, Claim: mine}, nil
+	}
+	for {
+		err := b.options.Seal(ctx, b.name, mine.Token)
+		if err == nil {
+			return elect.Claimed{Won: true, Claim: mine}, nil
+		}
+		duty.Pause(ctx, sealPause)
+		if ctx.Err() != nil {
+			return elect.Claimed{}, err
+		}
+	}
+}
+
 func (b *Base) readClaim(ctx context.Context, key string) (elect.Claim, store.Version, error) {
 	object, err := b.options.Store.Get(ctx, key)
 	var missing *store.MissingError
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -114,7 +114,7 @@
 		return b.options.Poll
 	}
 	if b.waiting.Load() > 0 && v.Needed(m.Name, b.options.Region) {
-		return askSpacing
+		return b.options.Spacing
 	}
 	primary, found := v.Primary()
 	isPrimary := found && primary.Member == m.Name
@@ -135,11 +135,12 @@
 	askCtx, cancel := context.WithTimeout(ctx, b.options.Timeout)
 	defer cancel()
 	asked := time.Now()
-	state, err := control.Ask(askCtx)
+	full := b.asksInFull(m)
+	state, err := control.Ask(askCtx, full)
 	if err != nil && askCtx.Err() == nil && !member.Refuses(err) {
 		// The connection had ended. Another one tells whether the member has.
 		control.Close()
-		state, err = control.Ask(askCtx)
+		state, err = control.Ask(askCtx, full)
 	}
 	var busy *member.BusyError
 	if ctx.Err() != nil || errors.As(err, &busy) {
@@ -153,6 +154,23 @@
 	b.inputs.Offer(trace.Input{Report: &view.Report{Member: m.Name, Asked: asked, Heard: time.Now(), State: state}})
 }
 
+// asksInFull tells whether a member's promises are needed: those of a majority while
+// nothing else has proven for some time that the primary leads, and those of a member
+// that has made one or stands still behind the primary.
+func (b *Base) asksInFull(m view.Member) bool {
+	v := b.View()
+	primary, found := v.Primary()
+	if found && primary.Member == m.Name {
+		return false
+	}
+	r, heard := v.Report(m.Name)
+	if !found || !heard || r.State.Fenced() || r.State.Term < primary.State.Term {
+		return true
+	}
+	now := time.Now()
+	return !b.idle(now) && now.Sub(v.Proven()) > b.options.Proof && v.Needed(m.Name, b.options.Region)
+}
+
 // failed returns what a question shows that was not answered.
 func failed(name string, err error) trace.Input {
 	if member.Refuses(err) {
--- a/internal/ctrl/world_test.go
+++ b/internal/ctrl/world_test.go
@@ -400,7 +400,7 @@
 	return c.call(ctx, operation)
 }
 
-func (c *fakeControl) Ask(ctx context.Context) (group.State, error) {
+func (c *fakeControl) Ask(ctx context.Context, _ bool) (group.State, error) {
 	return c.call(ctx, func(*lablog.Log) error { return nil })
 }
 
@@ -428,9 +428,13 @@
 	return c.order(ctx, func(l *lablog.Log) error { return l.Follow(term, leader, starts) })
 }
 
-func (c *fakeControl) Lead(ctx context.Context, _ string) (group.State, error) { return c.Ask(ctx) }
+func (c *fakeControl) Lead(ctx context.Context, _ string) (group.State, error) {
+	return c.Ask(ctx, true)
+}
 
-func (c *fakeControl) Evict(ctx context.Context, _ string) (group.State, error) { return c.Ask(ctx) }
+func (c *fakeControl) Evict(ctx context.Context, _ string) (group.State, error) {
+	return c.Ask(ctx, true)
+}
 
 // primaryServes tells whether the primary of the latest term runs, has promised
 // nothing later, and reaches most proxies and a majority of members.
--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -132,13 +132,25 @@
 		return m.handing(v)
 	}
 	all := len(m.answered) == len(v.Members())
-	if m.majority.IsZero() || (!all && now.Sub(m.majority) < m.rules.Grace) {
+	if m.majority.IsZero() || (!all && now.Sub(m.majority) < m.rules.Grace) || m.leased(now, v) {
 		return m, nil
 	}
 	m.stage, m.chosen = Choosing, m.longest(v)
 	return m, []Action{{Promote: &Order{Member: m.chosen, Claim: m.claim}}}
 }
 
+// leased tells whether reads may still rest on the former primary.
+func (m Machine) leased(now time.Time, v view.View) bool {
+	primary, found := v.Primary()
+	if found {
+		_, promised := m.fenced[primary.Member]
+		if promised {
+			return false
+		}
+	}
+	return now.Sub(m.majority) < m.rules.Lease
+}
+
 // withAnswer records a member's promise, or that it gave no answer.
 func (m Machine) withAnswer(now time.Time, v view.View, a Answer) Machine {
 	m.answered = maps.Clone(m.answered)
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -60,6 +60,10 @@
 	// Grace is how long a promoter waits for further members after a majority
 	// has promised.
 	Grace time.Duration
+	// Lease is how long after a majority was proven to have no other primary reads may
+	// rest on that. A promotion waits it out, unless the former primary has promised to
+	// step down.
+	Lease time.Duration `json:",omitempty"`
 	// SharedTerms tells that members promise a term to every promoter, and that a
 	// promotion begins the next term whatever was promised: claims are told apart by
 	// their tokens. A planned change then leaves the primary in service: the other
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -32,14 +32,6 @@
 	foreign  group.Term
 	repaired time.Time
 	started  time.Time
-	// stalls are the replicas that have stood still behind the primary.
-	stalls map[string]stall
-}
-
-// stall is where a replica stands, and since when.
-type stall struct {
-	at    group.Position
-	since time.Time
 }
 
 // New returns the machine of a watcher. The list of watchers is in the order of
@@ -218,7 +210,9 @@
 		return m, nil
 	}
 	if m.rules.SharedTerms {
-		return m.release(now, v, primary)
+		// Whoever leads feeds the others; one that has made a promise shows it, and the
+		// attempt that it made it for is carried on.
+		return m, nil
 	}
 	leader, _ := v.Member(primary.Member)
 	var actions []Action
@@ -241,28 +235,3 @@
 	m.repaired = now
 	return m, actions
 }
-
-// release lets replicas receive again that have stood still behind the primary: one
-// may have been fenced for an attempt that came to nothing. The first watcher acts at
-// once, each further one later.
-func (m Machine) release(now time.Time, v view.View, primary view.Report) (Machine, []Action) {
-	stalls := make(map[string]stall)
-	var actions []Action
-	for _, member := range v.Members() {
-		r, heard := v.Report(member.Name)
-		if !heard || v.Silent(member.Name) || member.Name == primary.Member || !r.State.Log().Less(primary.State.Log()) {
-			continue
-		}
-		was, known := m.stalls[member.Name]
-		if !known || was.at != r.State.Received {
-			was = stall{at: r.State.Received, since: now}
-		}
-		if now.Sub(was.since) >= m.rules.Attempt*2+time.Duration(m.place)*m.rules.Stagger {
-			was.since = now
-			actions = append(actions, Action{Follow: &Follow{Member: member.Name, Term: primary.State.Term}})
-		}
-		stalls[member.Name] = was
-	}
-	m.stalls = stalls
-	return m, actions
-}
--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -67,6 +67,20 @@
 // Error implements error.
 func (e *OrderError) Error() string { return fmt.Sprintf("%s: got HTTP status %d", e.Op, e.Status) }
 
+// nobody is the name of no member.
+const nobody = "i-0"
+
+// Seal makes sure that no order with a lower token is carried out any more: an order to
+// promote a member that does not exist changes nothing, but its token is taken note of.
+func Seal(ctx context.Context, p Promoter, database string, token uint64) error {
+	err := p.Promote(ctx, database, nobody, token)
+	var refused *OutrankedError
+	if errors.As(err, &refused) {
+		return nil
+	}
+	return err
+}
+
 // ControlOptions are what a Control depends on.
 type ControlOptions struct {
 	Database string
@@ -91,7 +105,7 @@
 func NewControl(options ControlOptions) *Control { return &Control{options: options} }
 
 // Ask implements member.Control.
-func (c *Control) Ask(ctx context.Context) (group.State, error) {
+func (c *Control) Ask(ctx context.Context, full bool) (group.State, error) {
 	pool := c.options.Pool()
 	conn, err := pool.TryGet(ctx, member.ReadWrite)
 	if err != nil {
@@ -103,7 +117,17 @@
 		pool.Put(conn, false)
 		return group.State{}, err
 	}
-	state, err := line.Probe()
+	ask := line.Probe
+	if full {
+		ask = line.State
+	}
+	state, err := ask()
+	var denied *DeniedError
+	if errors.As(err, &denied) {
+		// The member has no room for the question.
+		pool.Put(conn, line.SetDeadline(time.Time{}) == nil)
+		return state, &member.BusyError{Member: c.options.Member.Name}
+	}
 	if err == nil {
 		err = line.SetDeadline(time.Time{})
 	}
@@ -139,7 +163,7 @@
 		return group.State{}, err
 	}
 	for {
-		state, err := c.Ask(ctx)
+		state, err := c.Ask(ctx, true)
 		if err == nil && state.Role == group.Primary && state.Term >= w.Term {
 			return state, nil
 		}
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -6,8 +6,9 @@
 // The protocol itself is behind two interfaces: Caller is a connection from a
 // caller, Member one to a member. A member of such a protocol tells its position
 // with every answer, checks by itself whether it has reached a floor, and refuses a
-// transaction that may write unless it leads: what it then answers proves that no
-// other primary had been promoted before it was asked.
+// transaction that may write unless it leads as far as it knows. A primary that was
+// cut off may lead on in its own eyes; a lease that a majority of members proves tells
+// that none has been promoted meanwhile.
 package flow
 
 import (
@@ -141,7 +142,8 @@
 // floors itself, so that every earlier floor counts as kept by its term.
 func stateOf(role group.Role, at group.Floor) group.State {
 	return group.State{
-		Role: role, Term: at.Term, EntryTerm: at.Term, Received: at.Position, Applied: at.Position, Led: role == group.Primary,
+		Role: role, Term: at.Term, EntryTerm: at.Term, Received: at.Position, Applied: at.Position,
+		Led: role == group.Primary, Partial: true,
 		Starts: []group.Start{{}, {Term: at.Term, Position: math.MaxInt64}},
 	}
 }
--- a/internal/flow/line.go
+++ b/internal/flow/line.go
@@ -66,6 +66,20 @@
 	return stateOf(role, at), nil
 }
 
+// State asks for the member's state with all its promises, which takes a slot.
+func (l *Line) State() (group.State, error) {
+	orders, able := l.Member.(Orders)
+	if !able {
+		return group.State{}, &OrderError{Op: "state"}
+	}
+	l.since.Store(time.Now().UnixNano())
+	defer l.since.Store(0)
+	state, err := orders.State()
+	state.Led = state.Role == group.Primary
+	state.Starts = stateOf(state.Role, group.Floor{Term: state.Term}).Starts
+	return state, err
+}
+
 // exchange sends queries in one flight and returns their replies.
 func (l *Line) exchange(queries []Query) ([]Reply, error) {
 	l.since.Store(time.Now().UnixNano())
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -141,7 +141,8 @@
 // Run implements chain.Exchange.
 func (x *Exchange) Run(l member.Line, o chain.Order) (chain.Answer, error) {
 	line := l.(*Line) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
-	if x.opens() {
+	opened := x.opens()
+	if opened {
 		f := x.opening(line.setup, o)
 		replies, err := f.send(line)
 		if err != nil {
@@ -170,11 +171,15 @@
 	if main.Refusal != Accepted {
 		return answer, nil
 	}
+	answer.Leased = o.Lead || (opened && o.Write && x.session.Phase == stmt.Open)
 	if o.Write || o.Lead {
 		answer.Led = stateOf(group.Primary, last.Position)
 	}
-	if o.Write && answer.Idle && x.query.Statement.Kind != stmt.Rollback {
+	// A commit of nothing needs no replica.
+	x.session = x.session.WithRun(x.query.Statement, last.Phase)
+	if o.Write && answer.Idle && x.session.Wrote && x.query.Statement.Kind != stmt.Rollback {
 		answer.Kept = last.Position
+		answer.Led.Confirmed = o.Replicated && answer.Kept != (group.Floor{})
 	}
 	return answer, nil
 }
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/stmt"
@@ -66,7 +67,12 @@
 		return errors.CombineErrors(err, s.deny(err))
 	}
 	s.Caller.Service, s.Caller.Name = start.Service, start.Name
-	rows, listed := s.Options().Books.Book().Sheet().Access(start.Service, start.Name)
+	held := s.Options().Books.Book()
+	if held.Serial(book.Sheet) == 0 {
+		err := fault.New(fault.Unready, "connect", "this proxy knows no sheet yet")
+		return errors.CombineErrors(err, s.deny(err))
+	}
+	rows, listed := held.Sheet().Access(start.Service, start.Name)
 	if !listed {
 		err := fault.New(fault.Denied, "connect", "no service %q is listed", start.Service)
 		return errors.CombineErrors(err, s.deny(err))
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -79,7 +79,7 @@
 	c.named = ""
 }
 
-func (d *dispatched) Ask(context.Context) (group.State, error) {
+func (d *dispatched) Ask(context.Context, bool) (group.State, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.ended {
@@ -93,7 +93,7 @@
 	c.mu.Lock()
 	c.named = host
 	c.mu.Unlock()
-	state, err := c.Ask(ctx)
+	state, err := c.Ask(ctx, true)
 	if c.evicts {
 		c.mu.Lock()
 		defer c.mu.Unlock()
--- a/internal/gate/station.go
+++ b/internal/gate/station.go
@@ -268,7 +268,7 @@
 	}
 	duty.Pause(ctx, firstWait)
 	asked = time.Now()
-	state, err := s.ask(ctx, control.Ask)
+	state, err := s.ask(ctx, func(ctx context.Context) (group.State, error) { return control.Ask(ctx, true) })
 	if err == nil && state.Dispatcher != s.dispatch.options.Host {
 		err = errReplaced(s.dispatch.options.Host)
 	}
@@ -283,7 +283,7 @@
 			return
 		}
 		asked := time.Now()
-		state, err := s.ask(ctx, control.Ask)
+		state, err := s.ask(ctx, func(ctx context.Context) (group.State, error) { return control.Ask(ctx, true) })
 		if err != nil || state.Dispatcher != s.dispatch.options.Host {
 			return
 		}
--- a/internal/gate/world_test.go
+++ b/internal/gate/world_test.go
@@ -405,7 +405,7 @@
 	return state, err
 }
 
-func (c *fakeControl) Ask(ctx context.Context) (group.State, error) {
+func (c *fakeControl) Ask(ctx context.Context, _ bool) (group.State, error) {
 	return c.call(ctx, func(m *fakeMember) error {
 		if c.leads && m.leader != c.host {
 			return &member.RefusedError{Member: targetName, Text: "the connection was ended"}
--- a/internal/member/control.go
+++ b/internal/member/control.go
@@ -22,8 +22,9 @@
 
 // Control is what the proxy asks and orders of one member.
 type Control interface {
-	// Ask returns the member's state.
-	Ask(ctx context.Context) (group.State, error)
+	// Ask returns the member's state. A question that is not full may cost the member
+	// less, and its answer may leave out what the member has promised.
+	Ask(ctx context.Context, full bool) (group.State, error)
 	// Fence makes the member promise a term to a promoter. It returns
 	// *RefusedError if the member has promised otherwise. It is idempotent.
 	Fence(ctx context.Context, w Warrant) (group.State, error)
--- a/internal/pgmem/control_test.go
+++ b/internal/pgmem/control_test.go
@@ -21,13 +21,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	link := pgmem.NewLink(target.Address(), pgmem.Login{User: "u"})
 	defer link.Close()
-	_, err = link.Ask(t.Context())
+	_, err = link.Ask(t.Context(), true)
 	g.Expect(err).NotTo(HaveOccurred())
 	cleanUp()
-	_, err = link.Ask(t.Context())
+	_, err = link.Ask(t.Context(), true)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(member.Refuses(err)).To(BeFalse(), "the connection that was open has ended")
-	_, err = link.Ask(t.Context())
+	_, err = link.Ask(t.Context(), true)
 	g.Expect(member.Refuses(err)).To(BeTrue(), "%v", err)
 
 	closing, err := net.Listen("tcp", "127.0.0.1:0")
@@ -38,7 +38,7 @@
 			_ = conn.Close()
 		}
 	}()
-	_, err = pgmem.NewLink(closing.Addr().String(), pgmem.Login{User: "u"}).Ask(t.Context())
+	_, err = pgmem.NewLink(closing.Addr().String(), pgmem.Login{User: "u"}).Ask(t.Context(), true)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(member.Refuses(err)).To(BeFalse())
 
@@ -47,7 +47,7 @@
 	defer func() { _ = silent.Close() }()
 	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
 	defer cancel()
-	_, err = pgmem.NewLink(silent.Addr().String(), pgmem.Login{User: "u"}).Ask(short)
+	_, err = pgmem.NewLink(silent.Addr().String(), pgmem.Login{User: "u"}).Ask(short, true)
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(member.Refuses(err)).To(BeFalse())
 }
--- a/internal/pgmem/link.go
+++ b/internal/pgmem/link.go
@@ -40,7 +40,7 @@
 
 // Ask implements member.Control. The question is prepared once for each connection, so
 // that its answer comes without a description.
-func (l *Link) Ask(ctx context.Context) (group.State, error) {
+func (l *Link) Ask(ctx context.Context, _ bool) (group.State, error) {
 	if err := l.connect(ctx); err != nil {
 		return group.State{}, err
 	}
--- a/internal/stmt/stmt.go
+++ b/internal/stmt/stmt.go
@@ -83,6 +83,8 @@
 	// Phase is that of the transaction, and Start the statement that began it.
 	Phase Phase
 	Start Statement
+	// Wrote tells that the transaction has written.
+	Wrote bool
 }
 
 // Answers tells whether the proxy answers a statement itself, and returns the
@@ -97,7 +99,7 @@
 		s.prepared = maps.Clone(s.prepared)
 		delete(s.prepared, st.Name)
 	case Begin, BeginRead:
-		s.Phase, s.Start = Begun, st
+		s.Phase, s.Start, s.Wrote = Begun, st, false
 	case Rollback:
 		if s.Phase == Open {
 			return s, false
@@ -124,6 +126,14 @@
 	return st.Kind == Write
 }
 
+// WithRun returns the session after a statement has run, with the transaction in a
+// phase.
+func (s Session) WithRun(st Statement, p Phase) Session {
+	s.Wrote = s.Wrote || s.Writes(st)
+	s.Phase = p
+	return s
+}
+
 // WithPhase returns the session with its transaction in a phase.
 func (s Session) WithPhase(p Phase) Session {
 	s.Phase = p
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -75,6 +75,8 @@
 	// refusing are the silent members at whose address nothing listens.
 	refusing map[string]bool
 	points   []Point
+	// shown are where the primary stood at times for which no proof has come yet.
+	shown sightings
 }
 
 // New returns the view of a database of which nothing has been heard.
@@ -178,7 +180,7 @@
 	if p, proven := v.prove(); proven {
 		v.points = withPoint(v.points, p)
 	}
-	return v
+	return v.withSighting(r)
 }
 
 func cloneWith[V any](m map[string]V, key string, value V) map[string]V {
@@ -209,16 +211,26 @@
 }
 
 // Primary returns the report of the primary of the highest known term, and
-// false if no member is known to be that.
-func (v View) Primary() (Report, bool) {
+// false if no member is known to be that. Of two that claim the same term, it is the
+// one that was asked last.
+func (v View) Primary() (primary Report, found bool) {
 	term := v.Term()
 	for _, m := range v.members {
-		r, found := v.reports[m.Name]
-		if found && r.State.Role == group.Primary && r.State.Term == term {
-			return r, true
+		r, heard := v.reports[m.Name]
+		if heard && r.State.Role == group.Primary && r.State.Term == term && (!found || r.Asked.After(primary.Asked)) {
+			primary, found = r, true
 		}
 	}
-	return Report{}, false
+	return primary, found
+}
+
+// Proven returns the time up to which a majority is known to have had no other
+// primary.
+func (v View) Proven() time.Time {
+	if len(v.points) == 0 {
+		return time.Time{}
+	}
+	return v.points[len(v.points)-1].Asked
 }
 
 // Writable returns the primary if it answered the last question and has not
@@ -240,11 +252,13 @@
 	}
 	floor := group.Floor{Term: primary.State.Term, Position: primary.State.Received}
 	if primary.State.Led {
-		return Point{Floor: floor, Asked: primary.Asked}, true
+		// Members that check floors themselves know them by their entries.
+		floor = primary.State.Log()
 	}
 	var asked []time.Time
 	for _, r := range v.reports {
-		if r.State.Term == primary.State.Term && !r.State.Fenced() {
+		promises := !r.State.Partial || r.Member == primary.Member
+		if r.State.Term == primary.State.Term && !r.State.Fenced() && promises {
 			asked = append(asked, r.Asked)
 		}
 	}
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -46,6 +46,8 @@
 	Unlisted
 	// Leaving is work refused because the proxy or the database is leaving.
 	Leaving
+	// Unready is work refused because the proxy has only just started.
+	Unready
 	// Overloaded is work refused because a queue or a limit is full.
 	Overloaded
 	// Late is work that can no longer meet its deadline.
@@ -63,6 +65,8 @@
 	// Behind is a read that a member refused because it lacks a position that the
 	// read must see.
 	Behind
+	// Unproven is work at a primary that may have been replaced. It wrote nothing.
+	Unproven
 	// Severed is work whose connection ended before its answer was complete.
 	Severed
 	// Unconfirmed is a write that no majority confirmed in its own term.
@@ -84,6 +88,7 @@
 	Denied:       {"28000", NotRun, "denied"},
 	Unlisted:     {"PN001", NotRun, "unlisted"},
 	Leaving:      {"PN002", NotRun, "leaving"},
+	Unready:      {"PN012", NotRun, "unready"},
 	Overloaded:   {"PN003", NotRun, "overloaded"},
 	Late:         {"PN004", NotRun, "late"},
 	NoPrimary:    {"PN005", NotRun, "no-primary"},
@@ -92,6 +97,7 @@
 	Unreachable:  {"PN008", NotRun, "unreachable"},
 	Undispatched: {"PN009", NotRun, "undispatched"},
 	Behind:       {"PN010", NotRun, "behind"},
+	Unproven:     {"PN011", NotRun, "unproven"},
 	Severed:      {"PU001", Unknown, "severed"},
 	Unconfirmed:  {"PU002", Unknown, "unconfirmed"},
 	Oversized:    {"PU003", Unknown, "oversized"},
--- a/pkg/group/group.go
+++ b/pkg/group/group.go
@@ -109,9 +109,14 @@
 	Received Position
 	// Applied is the position that the member's reads see.
 	Applied Position
-	// Led tells that the answer itself proves that no other primary had been promoted
-	// when the member was asked.
+	// Led tells that the member has just acted as one that leads, which a primary that
+	// was replaced without knowing it does too.
 	Led bool
+	// Confirmed tells that the member has just had its last entry acknowledged by a
+	// replica, after it was asked.
+	Confirmed bool
+	// Partial tells that the answer leaves out what the member has promised.
+	Partial bool
 	// Dispatcher is the host that gives out the member's slots, or empty.
 	Dispatcher string
 	// Active counts the connections that run a statement or have a transaction
