Reads go on to members with room; work is refused while another try still helps

Change: of the members that may serve a read, those with room come first. Work with an aim waits a quarter of it for its turn, and less than half of its deadline.

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -225,6 +225,9 @@
 	// Acquire waits for a slot of a member until the request's deadline. Its
 	// faults are not run.
 	Acquire(ctx context.Context, database string, m view.Member, r *Request) (Slot, error)
+	// Room returns how much more work may begin at a member at once, or minus the
+	// amount of work that waits for it.
+	Room(database string, m view.Member) int
 }
 
 // New returns the chain in the order in which its filters run.
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/event"
@@ -73,11 +74,25 @@
 	if err != nil {
 		return err
 	}
-	r.targets, r.need = found.Targets, found.Need
+	r.targets, r.need = f.withRoom(r.Work.Database, found.Targets), found.Need
 	f.Log.Emit(event.ReadRouted, f.routed(r, r.targets[0], found.Reason, r.need.Term))
 	return next(ctx, r)
 }
 
+// withRoom puts the members first at which work may begin at once, in their order, then
+// those for which the least work waits: a burst near one member goes on to the others.
+func (f *filters) withRoom(database string, list []view.Member) []view.Member {
+	if len(list) < 2 {
+		return list
+	}
+	rooms := make(map[string]int, len(list))
+	for _, m := range list {
+		rooms[m.Name] = min(f.Slots.Room(database, m), 1)
+	}
+	slices.SortStableFunc(list, func(a, b view.Member) int { return rooms[b.Name] - rooms[a.Name] })
+	return list
+}
+
 func (f *filters) finder() Finder {
 	return Finder{Region: f.Region, DataCentre: f.DataCentre, ReplicaWait: f.ReplicaWait}
 }
@@ -150,7 +165,9 @@
 }
 
 func (f *filters) leaseOnce(ctx context.Context, r *Request, m view.Member) (*Lease, error) {
-	slot, err := f.Slots.Acquire(ctx, r.Work.Database, m, r)
+	waitCtx, cancel := context.WithDeadline(ctx, r.Arrived.Add(r.Work.Patience()))
+	defer cancel()
+	slot, err := f.Slots.Acquire(waitCtx, r.Work.Database, m, r)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -61,15 +61,14 @@
 
 // Acquire implements chain.Slots.
 func (s *Shares) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (chain.Slot, error) {
-	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Deadline}
+	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Arrived.Add(r.Work.Patience())}
 	slot, err := s.gate(database, m).Acquire(ctx, work)
 	slot.Until = time.Now().Add(never)
 	return slot, err
 }
 
-// Free returns how much more work may begin at a member at once. It is below zero by
-// the work that waits.
-func (s *Shares) Free(database string, m view.Member) int {
+// Room implements chain.Slots.
+func (s *Shares) Room(database string, m view.Member) int {
 	free, _, waiting := s.gate(database, m).Counts()
 	return free - waiting
 }
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -62,6 +62,20 @@
 	Deadline    time.Duration
 	Worth       int
 	AcceptedAge time.Duration
+	// Aim is the latency that callers are promised, or 0 if there is none besides the
+	// deadline.
+	Aim time.Duration `json:",omitempty"`
+}
+
+// Patience returns how long the work may wait for its turn at a member before it is
+// refused, so that its caller can try another proxy while that still helps: a quarter
+// of its aim, and less than half of its deadline. Work without an aim waits until its
+// deadline.
+func (r Row) Patience() time.Duration {
+	if r.Aim == 0 {
+		return r.Deadline
+	}
+	return min(r.Aim/4, r.Deadline*2/5)
 }
 
 // Unlabelled returns the work assumed of a caller on a service when it gives no
