Shares of a member's connections move with what each proxy wants

Cause: proxies with a burst in their data centre had no places left while those of others were idle.

Change: proxies tell with their heartbeats how many connections they want to each member, and each works out its max-min fair share; idle connections beyond it are closed. Positions of replicas are also taken from the answers to reads.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -261,8 +261,8 @@
 }
 
 // joinMesh lets the proxy take frames of its peers.
-func joinMesh(lc fx.Lifecycle, mesh *peer.Mesh, books *ctrl.Books, bases *ctrl.Bases, gates *gate.Dispatch, f *front.Front) {
-	onStop(lc, mesh.Start(&handler{Books: books, Bases: bases, Dispatch: gates, front: f}))
+func joinMesh(lc fx.Lifecycle, mesh *peer.Mesh, books *ctrl.Books, bases *ctrl.Bases, gates *gate.Dispatch, f *front.Front, p *ports) {
+	onStop(lc, mesh.Start(&handler{Books: books, Bases: bases, Dispatch: gates, wanting: p.wants, front: f}))
 }
 
 // handler takes what peers send.
@@ -270,6 +270,7 @@
 	*ctrl.Books
 	*ctrl.Bases
 	*gate.Dispatch
+	wanting
 	front *front.Front
 }
 
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -50,7 +50,9 @@
 	promoter, closePromoter := memb.NewPromoter(s.PromoteAddress, s.Host, plainDial(dialTimeout))
 	onStop(lc, closePromoter)
 	onStop(lc, ctrl.Enrol(st, log, hostOf(s, mesh.Address()), storeRetry))
-	shares := share.New(share.Options{Queue: s.Limits.Queue, Connections: l.connections})
+	shares := share.New(share.Options{
+		Host: s.Host, Queue: s.Limits.Queue, Connections: l.connections, Hosts: l.hosts, Resized: l.resized,
+	})
 	p := &ports{
 		protocol: flow.Protocol{Wrap: caller.New},
 		rules:    lineRules(s),
@@ -64,6 +66,7 @@
 		},
 		slots:   func(*gate.Dispatch) chain.Slots { return shares },
 		queues:  shares.Queues,
+		wants:   shares,
 		watched: noDispatcher{duty.NewCell[[]ctrl.Watched](nil)},
 		bind:    func(bases *ctrl.Bases, books *ctrl.Books) { l.bases, l.books = bases, books },
 	}
@@ -125,11 +128,12 @@
 	return rules
 }
 
-// connections returns this proxy's share of the connections to a member.
-func (l *lines) connections(database string) int {
-	book := l.books.Book()
-	return share.Size(book.Connections(database), max(len(book.LiveHosts()), 1))
-}
+// connections returns how many connections a member of a database takes.
+func (l *lines) connections(database string) int { return l.books.Book().Connections(database) }
+
+func (l *lines) hosts() []string { return l.books.Book().LiveHosts() }
+
+func (l *lines) resized(m view.Member, size int) { l.bases.Pool(m.Database, m).Resize(size) }
 
 // noDispatcher lists no database, since the members know no dispatcher.
 type noDispatcher struct{ *duty.Cell[[]ctrl.Watched] }
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -37,6 +37,8 @@
 	slots func(d *gate.Dispatch) chain.Slots
 	// queues returns the queues in front of the slots, by the names of the members.
 	queues func() map[string]*gate.Gate
+	// wants is what proxies tell one another of the connections that they want.
+	wants wanting
 	// watched tells which databases have a dispatcher.
 	watched gate.Bases
 	// hold is how long a member that is missing from the list is kept.
@@ -53,6 +55,21 @@
 	replicaWait time.Duration
 }
 
+// wanting is the part of a proxy that shares connections with others.
+type wanting interface {
+	Wants() map[string]int
+	TakeWants(host string, wants map[string]int)
+}
+
+// nothing wants nothing, where members know who gives out their slots.
+type nothing struct{}
+
+// Wants implements wanting.
+func (nothing) Wants() map[string]int { return nil }
+
+// TakeWants implements wanting.
+func (nothing) TakeWants(string, map[string]int) {}
+
 // newStore returns the client of the platform's store.
 func newStore(lc fx.Lifecycle, s config.Settings) store.Store {
 	if s.Protocol == config.Lines {
@@ -88,6 +105,7 @@
 		answerGrace: postgresAnswerGrace,
 		replicaWait: postgresReplicaWait,
 		spacing:     postgresSpacing,
+		wants:       nothing{},
 	}
 	p.open = func(database string, m view.Member) (*member.Pool, func()) {
 		login := loginOf(s, m, meter.Work, bytes)
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -90,6 +90,7 @@
 	return event.Fields{
 		"Request": r.Name, "Caller": r.Caller.Name, "CallerID": r.Caller.ID, "Service": r.Caller.Service, "Kind": r.Work.Kind,
 		"Rank": int(r.Work.Rank), "Fault": err.Kind.String(), "Cause": err.Error(),
+		"Database": r.Work.Database, "Member": r.member.Name, "Write": r.Write(), "Pinned": r.pinned,
 		"WaitedMs": time.Since(r.Arrived).Milliseconds(),
 	}
 }
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -161,8 +161,8 @@
 	Leased bool
 	// At is the position of the member that it told with the answer, or zero.
 	At group.Floor
-	// Led is the member's state, if the answer proves that it leads.
-	Led group.State
+	// Shown is what the answer shows of the member's state, if anything.
+	Shown group.State
 }
 
 // Sent tells whether any of the request was sent to a member that did not refuse
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -165,6 +165,7 @@
 }
 
 func (f *filters) leaseOnce(ctx context.Context, r *Request, m view.Member) (*Lease, error) {
+	r.member = m
 	waitCtx, cancel := context.WithDeadline(ctx, r.Arrived.Add(r.Work.Patience()))
 	defer cancel()
 	slot, err := f.Slots.Acquire(waitCtx, r.Work.Database, m, r)
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -51,8 +51,8 @@
 		r.sends--
 		return answer.Turned
 	}
-	if answer.Led.Led {
-		r.base.Observe(view.Report{Member: l.Member.Name, Asked: asked, Heard: time.Now(), State: answer.Led})
+	if answer.Shown.Partial {
+		r.base.Observe(view.Report{Member: l.Member.Name, Asked: asked, Heard: time.Now(), State: answer.Shown})
 	}
 	if answer.Leased && !f.leads(ctx, r, time.Now()) {
 		f.drop(r, false)
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -118,8 +118,15 @@
 // SetMembers replaces the list of members.
 func (b *Base) SetMembers(members []view.Member) { b.inputs.Offer(trace.Input{Members: members}) }
 
-// Observe takes what an answer to a caller's work showed of a member.
-func (b *Base) Observe(r view.Report) { b.inputs.Offer(trace.Input{Report: &r}) }
+// Observe takes what an answer to a caller's work showed of a member. An answer to a
+// read does not tell that the member leads, if it does.
+func (b *Base) Observe(r view.Report) {
+	was, heard := b.View().Report(r.Member)
+	if heard && was.State.Role == group.Primary && r.State.Role == group.Replica {
+		return
+	}
+	b.inputs.Offer(trace.Input{Report: &r})
+}
 
 // partial completes a report that leaves out what the member has promised: that and the
 // term are those of its last report, until an entry of a later term shows.
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -172,14 +172,18 @@
 		return answer, nil
 	}
 	answer.Leased = o.Lead || (opened && o.Write && x.session.Phase == stmt.Open)
+	role := group.Replica
 	if o.Write || o.Lead {
-		answer.Led = stateOf(group.Primary, last.Position)
+		role = group.Primary
+	}
+	if !last.Position.IsZero() {
+		answer.Shown = stateOf(role, last.Position)
 	}
 	// A commit of nothing needs no replica.
 	x.session = x.session.WithRun(x.query.Statement, last.Phase)
 	if o.Write && answer.Idle && x.session.Wrote && x.query.Statement.Kind != stmt.Rollback {
 		answer.Kept = last.Position
-		answer.Led.Confirmed = o.Replicated && answer.Kept != (group.Floor{})
+		answer.Shown.Confirmed = o.Replicated && answer.Kept != (group.Floor{})
 	}
 	return answer, nil
 }
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -17,7 +17,10 @@
 	// lending wakes the watch.
 	lending chan struct{}
 
-	mu     sync.Mutex
+	mu sync.Mutex
+	// share is how many connections the pool should hold at most, or 0 for as many as
+	// it may.
+	share  int
 	idle   map[Mode][]*Conn
 	lent   map[*Conn]struct{}
 	open   int
@@ -86,12 +89,33 @@
 // TryGet lends a connection if one may be had at once, and returns *BusyError if
 // work uses all of them.
 func (p *Pool) TryGet(ctx context.Context, mode Mode) (*Conn, error) {
-	if len(p.permits) == cap(p.permits) {
+	p.mu.Lock()
+	busy := len(p.permits) == cap(p.permits) || (p.share > 0 && len(p.lent) > p.share)
+	p.mu.Unlock()
+	if busy {
 		return nil, &BusyError{Member: p.options.Address}
 	}
 	return p.Get(ctx, mode)
 }
 
+// Resize sets how many connections the pool should hold. Idle ones beyond that are
+// closed at once, lent ones when they return; one more is left for questions.
+func (p *Pool) Resize(share int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = share
+	for mode, list := range p.idle {
+		excess := min(p.open-share-1, len(list))
+		for i := 0; i < excess; i++ {
+			_ = list[i].Close()
+			p.open--
+		}
+		if excess > 0 {
+			p.idle[mode] = list[excess:]
+		}
+	}
+}
+
 // take finds an idle connection that still answers, or opens one.
 func (p *Pool) take(ctx context.Context, mode Mode) (*Conn, error) {
 	for {
@@ -163,7 +187,7 @@
 func (p *Pool) Put(c *Conn, clean bool) {
 	p.mu.Lock()
 	delete(p.lent, c)
-	keep := clean && !c.doubt && !p.closed && c.era == p.era
+	keep := clean && !c.doubt && !p.closed && c.era == p.era && (p.share == 0 || p.open <= p.share+1)
 	if keep {
 		c.idled = time.Now()
 		p.idle[c.mode] = append(p.idle[c.mode], c)
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -39,15 +39,17 @@
 	Hello     *Hello     `msgpack:",omitempty"`
 	Welcome   *Welcome   `msgpack:",omitempty"`
 	Beat      *Beat      `msgpack:",omitempty"`
-	Doc       *book.Doc  `msgpack:",omitempty"`
-	Ask       *Ask       `msgpack:",omitempty"`
-	Vote      *VoteFrame `msgpack:",omitempty"`
-	Cancel    *Cancel    `msgpack:",omitempty"`
-	Want      *Want      `msgpack:",omitempty"`
-	Grant     *Grant     `msgpack:",omitempty"`
-	Done      *Done      `msgpack:",omitempty"`
-	Doubt     *Doubt     `msgpack:",omitempty"`
-	Opinion   *Opinion   `msgpack:",omitempty"`
+	// Wants is how many connections a proxy wants to each member.
+	Wants   map[string]int `msgpack:",omitempty"`
+	Doc     *book.Doc      `msgpack:",omitempty"`
+	Ask     *Ask           `msgpack:",omitempty"`
+	Vote    *VoteFrame     `msgpack:",omitempty"`
+	Cancel  *Cancel        `msgpack:",omitempty"`
+	Want    *Want          `msgpack:",omitempty"`
+	Grant   *Grant         `msgpack:",omitempty"`
+	Done    *Done          `msgpack:",omitempty"`
+	Doubt   *Doubt         `msgpack:",omitempty"`
+	Opinion *Opinion       `msgpack:",omitempty"`
 }
 
 // Want asks a dispatcher for a slot of a member.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -24,6 +24,10 @@
 	Judge(database string, term group.Term) bool
 	// TakeVote takes another proxy's answer.
 	TakeVote(database string, v elect.Vote)
+	// Wants returns how many connections this proxy wants to each member, by its name.
+	Wants() map[string]int
+	// TakeWants takes how many another proxy wants.
+	TakeWants(host string, wants map[string]int)
 	// TakeWant takes a request for a slot. The answer may come later.
 	TakeWant(host string, w Want, answer func(Grant))
 	// TakeGrant takes the answer to a request for a slot.
@@ -225,6 +229,9 @@
 func (m *Mesh) take(host string, f Frame, answers *duty.Ring[Frame]) {
 	switch {
 	case f.Beat != nil:
+		if f.Wants != nil {
+			m.handler.TakeWants(host, f.Wants)
+		}
 		m.answerBeat(*f.Beat, answers)
 	case f.Doc != nil:
 		m.handler.TakeDoc(*f.Doc)
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -83,7 +83,7 @@
 
 func (m *Mesh) heartbeat() Frame {
 	beat := BeatOf(m.handler.Book())
-	return Frame{Beat: &beat}
+	return Frame{Beat: &beat, Wants: m.handler.Wants()}
 }
 
 // seeds returns the addresses to ask while no list of hosts is known.
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -2,9 +2,10 @@
 // know no dispatcher.
 //
 // A member takes a limited number of connections from all proxies together, and
-// queues by itself what exceeds its slots. Each proxy that is known to live has an
-// equal share of the connections, and one piece of work of its own on each. What
-// exceeds the share waits here, in the order of ranks.
+// queues by itself what exceeds its slots. The proxies tell one another with their
+// heartbeats how many connections they want to each member, and each works out its own
+// share of them. It has one piece of work on each of its connections; what exceeds the
+// share waits here, in the order of ranks.
 package share
 
 import (
@@ -22,38 +23,41 @@
 // for orders, and for those of a proxy that has just ended.
 const reserve = 2
 
-// Size returns how many connections to each member one of so many proxies may have.
-func Size(connections, hosts int) int {
-	return max((connections-reserve)/max(hosts, 1), 1)
-}
-
 // Options are what Shares depend on.
 type Options struct {
+	Host string
 	// Queue is how much work of each rank may wait for each member.
 	Queue int
-	// Connections returns how many connections a member of a database takes from
-	// this proxy.
+	// Connections returns how many connections a member of a database takes from all
+	// proxies together.
 	Connections func(database string) int
+	// Hosts returns the proxies that share them.
+	Hosts func() []string
+	// Resized is told of the share of a member, unless it is nil.
+	Resized func(m view.Member, size int)
 }
 
 // Shares bound the work at all members.
 type Shares struct {
 	options Options
+	wants   *wants
 
 	mu    sync.Mutex
 	gates map[string]*sized
 }
 
+// sized is the gate of a member with its share.
 type sized struct {
 	*gate.Gate
-	size int
+	member view.Member
+	size   int
 }
 
 var _ chain.Slots = (*Shares)(nil)
 
 // New returns shares of which none is in use.
 func New(options Options) *Shares {
-	return &Shares{options: options, gates: make(map[string]*sized)}
+	return &Shares{options: options, wants: newWants(), gates: make(map[string]*sized)}
 }
 
 // never is how far ahead the end lies of slots that do not lapse.
@@ -61,8 +65,11 @@
 
 // Acquire implements chain.Slots.
 func (s *Shares) Acquire(ctx context.Context, database string, m view.Member, r *chain.Request) (chain.Slot, error) {
+	g := s.gate(database, m)
 	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Arrived.Add(r.Work.Patience())}
-	slot, err := s.gate(database, m).Acquire(ctx, work)
+	_, lent, waiting := g.Counts()
+	s.wants.note(m.Name, lent+waiting+1)
+	slot, err := g.Acquire(ctx, work)
 	slot.Until = time.Now().Add(never)
 	return slot, err
 }
@@ -73,9 +80,8 @@
 	return free - waiting
 }
 
-// gate returns the gate of a member, brought to its present size.
+// gate returns the gate of a member.
 func (s *Shares) gate(database string, m view.Member) *gate.Gate {
-	size := s.options.Connections(database)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	g, found := s.gates[m.Name]
@@ -84,16 +90,44 @@
 		// A transaction holds its place through the caller's pauses, so that the time
 		// that work has held one tells nothing of the time that other work needs.
 		rules.Early = false
-		g = &sized{Gate: gate.New(rules, size, time.Now().Add(never)), size: size}
+		g = &sized{Gate: gate.New(rules, 0, time.Now().Add(never)), member: m}
 		s.gates[m.Name] = g
-	}
-	if size != g.size {
-		g.Add(size - g.size)
-		g.size = size
+		s.resize(database, g, time.Now())
 	}
 	return g.Gate
 }
 
+// resize brings a gate to its present share. The lock must be held.
+func (s *Shares) resize(database string, g *sized, now time.Time) {
+	hosts := s.options.Hosts()
+	total := s.options.Connections(database) - reserve
+	size := Level(total, s.options.Host, s.wants.of(g.member.Name, s.options.Host, hosts, total/max(len(hosts), 1), now))
+	if size == g.size {
+		return
+	}
+	g.Add(size - g.size)
+	g.size = size
+	if s.options.Resized != nil {
+		s.options.Resized(g.member, size)
+	}
+}
+
+// Wants returns what this proxy wants, for its heartbeat, and brings all shares up to
+// date.
+func (s *Shares) Wants() map[string]int {
+	told := s.wants.tell()
+	now := time.Now()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, g := range s.gates {
+		s.resize(g.member.Database, g, now)
+	}
+	return told
+}
+
+// TakeWants takes what another proxy wants.
+func (s *Shares) TakeWants(host string, of map[string]int) { s.wants.take(host, of, time.Now()) }
+
 // Keep drops the gates of members that are no longer listed.
 func (s *Shares) Keep(listed func(member string) bool) {
 	s.mu.Lock()
