--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -60,7 +60,7 @@
 		hold:     memberHold,
 		lease:    readLease,
 		spacing:  lineSpacing,
-		proof:    readLease / 2,
+		proof:    readLease * 7 / 10,
 		seal: func(ctx context.Context, database string, token uint64) error {
 			return flow.Seal(ctx, promoter, database, token)
 		},
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -45,7 +45,7 @@
 }
 
 // Proves implements chain.Exchange.
-func (x *Exchange) Proves() bool { return x.session.Phase == stmt.Idle }
+func (x *Exchange) Proves() bool { return x.session.Phase != stmt.Open }
 
 func (x *Exchange) opens() bool { return x.session.Phase == stmt.Begun }
 
@@ -69,12 +69,24 @@
 // at once: if the member does not lead, the answer is dropped.
 type flight struct {
 	queries []Query
-	// open and main are the places of the opening statement and of the caller's, or -1.
+	// lead, open and main are the places of what only a leading member accepts, of the
+	// opening statement and of the caller's, or -1.
+	lead int
 	open int
 	main int
 	then stmt.Setup
 }
 
+// first returns the place of the first query that does not set the connection up.
+func (f *flight) first() int {
+	for _, place := range []int{f.lead, f.open, f.main} {
+		if place >= 0 {
+			return place
+		}
+	}
+	return 0
+}
+
 func (f *flight) add(q Query) int {
 	f.queries = append(f.queries, q)
 	return len(f.queries) - 1
@@ -84,7 +96,14 @@
 func (x *Exchange) opening(setup stmt.Setup, o chain.Order) flight {
 	f := x.settingUp(setup, x.session.Start)
 	q := Query{ID: x.query.ID, Statement: x.session.Start}
-	if !o.Write {
+	switch {
+	case o.Write:
+	case o.Lead:
+		// A replica opens a transaction that only reads, too: one that may write is
+		// tried before it. What was acknowledged before that is seen behind it.
+		f.lead = f.add(probe[0])
+		f.add(probe[1])
+	default:
 		q.Floor = o.Floor
 	}
 	f.open = f.add(q)
@@ -111,7 +130,7 @@
 
 func (x *Exchange) settingUp(setup stmt.Setup, st stmt.Statement) flight {
 	before, _, then := setup.Lacking(x.session, st)
-	f := flight{open: -1, main: -1, then: then}
+	f := flight{lead: -1, open: -1, main: -1, then: then}
 	for _, b := range before {
 		f.add(Query{Statement: b})
 	}
@@ -126,11 +145,7 @@
 		return nil, err
 	}
 	line.setup = f.then
-	setting := f.main
-	if f.open >= 0 {
-		setting = f.open
-	}
-	for _, r := range replies[:setting] {
+	for _, r := range replies[:f.first()] {
 		if r.Refusal != Accepted {
 			return nil, fault.New(fault.Severed, "set up connection", "the member refused a value or a prepared statement of the session: %s", r.Text)
 		}
@@ -141,14 +156,18 @@
 // Run implements chain.Exchange.
 func (x *Exchange) Run(l member.Line, o chain.Order) (chain.Answer, error) {
 	line := l.(*Line) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
-	opened := x.opens()
-	if opened {
+	opens := x.opens()
+	if opens {
 		f := x.opening(line.setup, o)
 		replies, err := f.send(line)
 		if err != nil {
 			return chain.Answer{}, err
 		}
-		if opened := replies[f.open]; opened.Refusal != Accepted {
+		opened := replies[f.open]
+		if f.lead >= 0 && replies[f.lead].Refusal != Accepted {
+			return x.turned(line, replies[f.lead], opened.Phase)
+		}
+		if opened.Refusal != Accepted {
 			return x.turned(line, opened, opened.Phase)
 		}
 		x.session.Phase = stmt.Open
@@ -171,7 +190,7 @@
 	if main.Refusal != Accepted {
 		return answer, nil
 	}
-	answer.Leased = o.Lead || (opened && o.Write && x.session.Phase == stmt.Open)
+	answer.Leased = o.Lead || (opens && o.Write)
 	role := group.Replica
 	if o.Write || o.Lead {
 		role = group.Primary
