Orders for promotions are given again until they are answered

Cause: an order to promote had 0.5 s, less than a promotion takes to come into effect, and an order whose answer was lost was given again only with the next attempt, 4 s later.

Change: the order may take as long as the attempt, and is given again with the same token until it is answered.

--- a/internal/ctrl/order.go
+++ b/internal/ctrl/order.go
@@ -28,9 +28,13 @@
 	case a.ClaimTerm != nil:
 		b.orders.Go(ctx, func(ctx context.Context) error { return b.claim(ctx, a.ClaimTerm.After) })
 	case a.Fence != nil:
-		b.orders.Go(ctx, func(ctx context.Context) error { return b.command(ctx, *a.Fence, member.Control.Fence) })
+		b.orders.Go(ctx, func(ctx context.Context) error {
+			return b.command(ctx, *a.Fence, b.options.Timeout, member.Control.Fence)
+		})
 	case a.Promote != nil:
-		b.orders.Go(ctx, func(ctx context.Context) error { return b.command(ctx, *a.Promote, member.Control.Promote) })
+		b.orders.Go(ctx, func(ctx context.Context) error {
+			return b.command(ctx, *a.Promote, b.promoteTime(), member.Control.Promote)
+		})
 	case a.Follow != nil:
 		b.orders.Go(ctx, func(ctx context.Context) error { return b.follow(ctx, *a.Follow) })
 	}
@@ -136,12 +140,21 @@
 	return claim, object.Version, nil
 }
 
+// promoteTime is how long an order to promote may take: as long as the attempt, where a
+// promotion takes effect a while after the order.
+func (b *Base) promoteTime() time.Duration {
+	if b.options.Rules.SharedTerms {
+		return b.options.Rules.Attempt
+	}
+	return b.options.Timeout
+}
+
 type commandFunc func(member.Control, context.Context, member.Warrant) (group.State, error)
 
 // reach calls give with a connection of its own to a member, since the poller's
 // may be stuck. A member that is no longer listed is left alone.
-func (b *Base) reach(ctx context.Context, name string, give func(context.Context, member.Control) error) error {
-	ctx, cancel := context.WithTimeout(ctx, b.options.Timeout)
+func (b *Base) reach(ctx context.Context, name string, timeout time.Duration, give func(context.Context, member.Control) error) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	target, found := b.View().Member(name)
 	if !found {
@@ -153,8 +166,8 @@
 }
 
 // command gives an order of a promotion to a member.
-func (b *Base) command(ctx context.Context, o elect.Order, give commandFunc) error {
-	return b.reach(ctx, o.Member, func(ctx context.Context, control member.Control) error {
+func (b *Base) command(ctx context.Context, o elect.Order, timeout time.Duration, give commandFunc) error {
+	return b.reach(ctx, o.Member, timeout, func(ctx context.Context, control member.Control) error {
 		asked := time.Now()
 		state, err := give(control, ctx, member.Warrant{Term: o.Claim.Term, Promoter: o.Claim.Promoter + "/" + o.Claim.Attempt, Token: o.Claim.Token})
 		var refused *member.RefusedError
@@ -172,7 +185,7 @@
 
 // follow tells a member to follow the primary.
 func (b *Base) follow(ctx context.Context, f elect.Follow) error {
-	return b.reach(ctx, f.Member, func(ctx context.Context, control member.Control) error {
+	return b.reach(ctx, f.Member, b.options.Timeout, func(ctx context.Context, control member.Control) error {
 		_, err := control.Follow(ctx, f.Term, f.Leader.Address, f.Starts)
 		b.options.Log.Emit(event.MemberFollows, event.Fields{
 			"Database": b.name, "Member": f.Member, "Primary": f.Leader.Name, "Term": f.Term, "Done": err == nil,
--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -149,21 +149,30 @@
 	})
 }
 
-// promotedLook is the pause between looks whether a promotion has taken effect.
-const promotedLook = 50 * time.Millisecond
+const (
+	// promotedLook is the pause between looks whether a promotion has taken effect.
+	promotedLook = 50 * time.Millisecond
+	// lookTimeout ends a look.
+	lookTimeout = 500 * time.Millisecond
+)
 
-// Promote implements member.Control. It returns once the member leads.
+// Promote implements member.Control. An order that was not answered is given again with
+// the same token: it changes nothing if the first one was carried out. Promote returns
+// once the member leads.
 func (c *Control) Promote(ctx context.Context, w member.Warrant) (group.State, error) {
-	err := c.options.Promoter.Promote(ctx, c.options.Database, c.options.Member.Name, w.Token)
-	var outranked *OutrankedError
-	if errors.As(err, &outranked) {
-		return group.State{}, &member.RefusedError{Member: c.options.Member.Name, Text: err.Error()}
-	}
-	if err != nil {
-		return group.State{}, err
-	}
+	accepted := false
 	for {
-		state, err := c.Ask(ctx, true)
+		if !accepted {
+			err := c.options.Promoter.Promote(ctx, c.options.Database, c.options.Member.Name, w.Token)
+			var outranked *OutrankedError
+			if errors.As(err, &outranked) {
+				return group.State{}, &member.RefusedError{Member: c.options.Member.Name, Text: err.Error()}
+			}
+			accepted = err == nil
+		}
+		lookCtx, cancel := context.WithTimeout(ctx, lookTimeout)
+		state, err := c.Ask(lookCtx, true)
+		cancel()
 		if err == nil && state.Role == group.Primary && state.Term >= w.Term {
 			return state, nil
 		}
