--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -109,6 +109,11 @@
 		return elect.Event{Answer: a}
 	case "handover":
 		return elect.Event{Handover: &elect.Handover{Target: args[0]}}
+	case "shared":
+		// Members promise a term to every promoter, and reads rest on a lease.
+		rules := elect.RulesFor(time.Second)
+		rules.SharedTerms, rules.Lease = true, time.Second
+		r.machine = elect.New(rules, "p1", []string{"p1", "p2", "p3"}, r.start)
 	case "tick":
 	default:
 		r.t.Fatalf("no such event: %s", verb)
--- /dev/null
+++ b/internal/flow/flow_test.go
@@ -0,0 +1,233 @@
+package flow_test
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/flow"
+	"poplarrouter.example/poplarrouter/internal/stmt"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/group"
+)
+
+// database is a connection to a member in memory. It runs what it is sent at once, also
+// behind a transaction that it refused to open, as the platform's databases do.
+type database struct {
+	leads bool
+	at    group.Floor
+	phase stmt.Phase
+	// ran are the statements of callers, each with the phase in which it ran.
+	ran []run
+	// cut ends the connection before so many further answers are read, unless it is
+	// below zero.
+	cut     int
+	replies []flow.Reply
+}
+
+type run struct {
+	id    string
+	phase stmt.Phase
+}
+
+var errCut = errors.New("connection reset")
+
+func newDatabase(leads bool) *database {
+	return &database{leads: leads, at: group.Floor{Term: 1, Position: 10}, cut: -1}
+}
+
+func (d *database) SetDeadline(time.Time) error { return nil }
+func (d *database) Close() error                { return nil }
+
+func (d *database) Send(queries []flow.Query) error {
+	for _, q := range queries {
+		d.replies = append(d.replies, d.answer(q))
+	}
+	return nil
+}
+
+func (d *database) Receive() (flow.Reply, error) {
+	if d.cut == 0 {
+		return flow.Reply{}, errCut
+	}
+	d.cut--
+	r := d.replies[0]
+	d.replies = d.replies[1:]
+	return r, nil
+}
+
+func (d *database) answer(q flow.Query) flow.Reply {
+	refusal := d.refusal(q)
+	if refusal == flow.Accepted {
+		d.do(q)
+	}
+	return flow.Reply{Refusal: refusal, Receipt: "receipt", Phase: d.phase, Position: d.at}
+}
+
+func (d *database) refusal(q flow.Query) flow.Refusal {
+	open := d.phase == stmt.Open
+	switch {
+	case d.at.Less(q.Floor):
+		return flow.Behind
+	case q.Statement.Kind == stmt.Begin && !d.leads, q.Statement.Kind == stmt.Write && !d.leads:
+		return flow.NotPrimary
+	case (q.Statement.Kind == stmt.Rollback || q.Statement.Kind == stmt.Commit) && !open:
+		return flow.Malformed
+	default:
+		return flow.Accepted
+	}
+}
+
+func (d *database) do(q flow.Query) {
+	switch q.Statement.Kind {
+	case stmt.Begin, stmt.BeginRead:
+		d.phase = stmt.Open
+	case stmt.Commit, stmt.Rollback:
+		d.phase = stmt.Idle
+	case stmt.Write:
+		d.at.Position++
+	default:
+	}
+	if q.ID != "" && q.Statement.Kind != stmt.Begin && q.Statement.Kind != stmt.BeginRead {
+		d.ran = append(d.ran, run{q.ID, d.phase})
+	}
+}
+
+var (
+	read   = stmt.Statement{Kind: stmt.Read, Text: "READ 1"}
+	write  = stmt.Statement{Kind: stmt.Write, Text: "WRITE 1 x"}
+	commit = stmt.Statement{Kind: stmt.Commit, Text: "COMMIT"}
+)
+
+// begun returns a session that has begun a transaction of which no member knows.
+func begun(kind stmt.Kind) stmt.Session {
+	s, _ := stmt.Session{}.Answers(stmt.Statement{Kind: kind, Text: "BEGIN"})
+	return s
+}
+
+func TestAStatementFollowsOnlyAnOpenTransaction(t *testing.T) {
+	g := NewWithT(t)
+	replaced := newDatabase(false)
+	x := flow.NewExchange(flow.Query{ID: "r1", Statement: read}, begun(stmt.Begin))
+	answer, err := x.Run(flow.NewLine(replaced), chain.Order{Write: true})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Refused).To(BeTrue(), "it may wait for the next primary")
+	g.Expect(replaced.ran).To(BeEmpty(), "nothing of the transaction ran outside of it")
+}
+
+// TestATransactionThatMovesIsOpenedAnew loses the connection behind the opening of a
+// transaction that only reads, after which the chain takes the next member.
+func TestATransactionThatMovesIsOpenedAnew(t *testing.T) {
+	g := NewWithT(t)
+	first, second := newDatabase(false), newDatabase(false)
+	first.cut = 1
+	x := flow.NewExchange(flow.Query{ID: "r1", Statement: read}, begun(stmt.BeginRead))
+	_, err := x.Run(flow.NewLine(first), chain.Order{Floor: first.at})
+	g.Expect(err).To(MatchError(errCut))
+	x.Discard()
+	answer, err := x.Run(flow.NewLine(second), chain.Order{Floor: second.at})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(answer.Turned).To(BeNil())
+	g.Expect(second.ran).To(Equal([]run{{"r1", stmt.Open}}))
+}
+
+func TestAReadAtAMemberThatDoesNotLeadIsDropped(t *testing.T) {
+	g := NewWithT(t)
+	line := flow.NewLine(newDatabase(false))
+	for _, s := range []stmt.Session{{}, begun(stmt.BeginRead)} {
+		x := flow.NewExchange(flow.Query{ID: "r1", Statement: read}, s)
+		answer, err := x.Run(line, chain.Order{Lead: true})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Refused).To(BeTrue())
+		g.Expect(answer.Dirty).To(BeFalse(), "the connection is outside a transaction again")
+		g.Expect(x.Reply().Receipt).To(BeEmpty())
+	}
+}
+
+func TestWorkAtALeadingMemberRestsOnItsLease(t *testing.T) {
+	g := NewWithT(t)
+	for _, c := range []struct {
+		session stmt.Session
+		order   chain.Order
+		leased  bool
+	}{
+		{stmt.Session{}, chain.Order{Lead: true}, true},
+		{begun(stmt.BeginRead), chain.Order{Lead: true}, true},
+		{begun(stmt.Begin), chain.Order{Write: true}, true},
+		{stmt.Session{}, chain.Order{Floor: group.Floor{Term: 1, Position: 3}}, false},
+		{begun(stmt.Begin).WithPhase(stmt.Open), chain.Order{Write: true, Pinned: true}, false},
+	} {
+		x := flow.NewExchange(flow.Query{ID: "r1", Statement: read}, c.session)
+		answer, err := x.Run(flow.NewLine(newDatabase(true)), c.order)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Leased).To(Equal(c.leased))
+	}
+}
+
+// TestACommitOfNothingProvesNothing is the end of a transaction that has only read: a
+// primary that is cut off from its replicas acknowledges it too.
+func TestACommitOfNothingProvesNothing(t *testing.T) {
+	g := NewWithT(t)
+	line := flow.NewLine(newDatabase(true))
+	session := begun(stmt.Begin)
+	confirmed := func(st stmt.Statement) bool {
+		x := flow.NewExchange(flow.Query{ID: "r", Statement: st}, session)
+		answer, err := x.Run(line, chain.Order{Write: true, Replicated: true})
+		g.Expect(err).NotTo(HaveOccurred())
+		session = x.Session()
+		return answer.Shown.Confirmed
+	}
+	g.Expect(confirmed(read)).To(BeFalse())
+	g.Expect(confirmed(commit)).To(BeFalse())
+	session = begun(stmt.Begin)
+	g.Expect(confirmed(write)).To(BeFalse())
+	g.Expect(confirmed(commit)).To(BeTrue())
+	g.Expect(confirmed(write)).To(BeTrue(), "a single write commits itself")
+}
+
+func TestAMemberThatLacksTheFloorRunsNothing(t *testing.T) {
+	g := NewWithT(t)
+	behind := newDatabase(false)
+	floor := group.Floor{Term: 1, Position: behind.at.Position + 1}
+	for _, s := range []stmt.Session{{}, begun(stmt.BeginRead)} {
+		x := flow.NewExchange(flow.Query{ID: "r1", Statement: read}, s)
+		answer, err := x.Run(flow.NewLine(behind), chain.Order{Floor: floor})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Turned.Kind).To(Equal(fault.Behind))
+	}
+	g.Expect(behind.ran).To(BeEmpty())
+}
+
+// TestWhatCallersAreToldOfAFailure tells for each place of a statement in its session
+// what a caller may rely on.
+func TestWhatCallersAreToldOfAFailure(t *testing.T) {
+	open := begun(stmt.Begin).WithPhase(stmt.Open)
+	severed, refused := fault.New(fault.Severed, "run", "cut"), fault.New(fault.Overloaded, "run", "full")
+	for name, c := range map[string]struct {
+		statement stmt.Statement
+		session   stmt.Session
+		err       *fault.Error
+		want      flow.Refusal
+		phase     stmt.Phase
+	}{
+		"a single write that was sent":         {write, stmt.Session{}, severed, flow.InDoubt, stmt.Idle},
+		"a single write that was not sent":     {write, stmt.Session{}, refused, flow.Busy, stmt.Idle},
+		"a single read that was sent":          {read, stmt.Session{}, severed, flow.TimedOut, stmt.Idle},
+		"a commit that was sent":               {commit, open, severed, flow.InDoubt, stmt.Idle},
+		"a write in a transaction":             {write, open, severed, flow.Aborted, stmt.Failed},
+		"the first statement of a transaction": {read, begun(stmt.Begin), refused, flow.Aborted, stmt.Failed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			reply, session := flow.NewExchange(flow.Query{ID: "r", Statement: c.statement}, c.session).Fail(c.err)
+			g.Expect(reply.Refusal).To(Equal(c.want))
+			g.Expect(reply.Phase).To(Equal(c.phase))
+			g.Expect(session.Phase).To(Equal(c.phase))
+		})
+	}
+}
+
+var _ flow.Member = (*database)(nil)
