Claims need no store: tokens and seals; watchers tell one another of claims

Ruled out by a trial: an order to promote an unknown member does not keep its token; it does (a lower token got 409, the same 200), so that it can seal earlier orders off.

Change: a claim is a token of the term, the second and the host, sealed at the platform before any member is fenced; the claims in the store are gone on the platform. Watchers tell one another of claims and rest behind them. Unanswered fences are asked for again, over a pooled connection if the member takes no further ones.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -181,6 +181,7 @@
 			Spacing:  p.spacing,
 			Proof:    p.proof,
 			Seal:     p.seal,
+			Tokens:   ctrl.NewTokens(s.Host),
 			Log:      log,
 			Trace:    s.TraceElections,
 		},
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -125,6 +125,9 @@
 	rules.SharedTerms = true
 	rules.Attempt = 4 * s.Timing.SuspectMs.Duration()
 	rules.Lease = readLease + leaseMargin
+	// Another watcher's claim shows in the promises of members, which are asked for each
+	// few hundred milliseconds.
+	rules.Stagger = s.Timing.SuspectMs.Duration() / 2
 	return rules
 }
 
--- a/internal/ctrl/base.go
+++ b/internal/ctrl/base.go
@@ -24,6 +24,8 @@
 	// AskWatchers asks each of the hosts about the primary of a term. Their
 	// answers come to Base.Vote, late or not at all.
 	AskWatchers(database string, term group.Term, hosts []string)
+	// TellClaim tells each of the hosts of a claim that was won.
+	TellClaim(database string, claim elect.Claim, hosts []string)
 }
 
 // Dialer returns the control of a member. Tests replace it.
@@ -47,7 +49,9 @@
 	// Seal makes sure that no order for a promotion of a database with a lower token is
 	// carried out any more. It is nil where members refuse such orders themselves.
 	Seal func(ctx context.Context, database string, token uint64) error
-	Log  *event.Log
+	// Tokens makes the tokens of claims, where there is Seal.
+	Tokens *Tokens
+	Log    *event.Log
 	// Trace tells that each step of the election machine is logged.
 	Trace bool
 	// Replaced is told of a primary that gave way to another, unless it is nil.
@@ -150,6 +154,9 @@
 // Vote takes another watcher's answer.
 func (b *Base) Vote(v elect.Vote) { b.inputs.Offer(trace.Input{Event: elect.Event{Vote: &v}}) }
 
+// Rival takes another watcher's claim.
+func (b *Base) Rival(c elect.Claim) { b.inputs.Offer(trace.Input{Event: elect.Event{Rival: &c}}) }
+
 // HandOver begins a planned change of the primary.
 func (b *Base) HandOver(target string) {
 	b.inputs.Offer(trace.Input{Event: elect.Event{Handover: &elect.Handover{Target: target}}})
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -164,6 +164,13 @@
 	}
 }
 
+// TakeClaim passes another proxy's claim on.
+func (b *Bases) TakeClaim(database string, c elect.Claim) {
+	if base, found := b.Base(database); found {
+		base.Rival(c)
+	}
+}
+
 // follow is the duty that brings the watches in line with the documents.
 func (b *Bases) follow(ctx context.Context) error {
 	for {
--- a/internal/ctrl/order.go
+++ b/internal/ctrl/order.go
@@ -8,7 +8,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/elect"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/member"
@@ -25,6 +24,8 @@
 		b.note(*a.Note)
 	case a.AskWatchers != nil:
 		b.options.Watchers.AskWatchers(b.name, a.AskWatchers.Term, hosts)
+	case a.TellClaim != nil:
+		b.options.Watchers.TellClaim(b.name, *a.TellClaim, hosts)
 	case a.ClaimTerm != nil:
 		b.orders.Go(ctx, func(ctx context.Context) error { return b.claim(ctx, a.ClaimTerm.After) })
 	case a.Fence != nil:
@@ -56,12 +57,16 @@
 // ClaimKey returns the store's key of a database's claim.
 func ClaimKey(database string) string { return "Claims/" + database }
 
-// claim writes a claim of a term after the given one to the store. If the answer
-// is lost, the claim is read again: the attempt's name tells whose it is.
+// claim claims a term after the given one: by a token where orders are checked by their
+// tokens, else in the store.
 func (b *Base) claim(ctx context.Context, after group.Term) error {
 	ctx, cancel := context.WithTimeout(ctx, b.options.Rules.Attempt)
 	defer cancel()
-	claimed, err := b.putClaim(ctx, after)
+	put := b.putClaim
+	if b.options.Seal != nil {
+		put = b.claimByToken
+	}
+	claimed, err := put(ctx, after)
 	if err != nil {
 		b.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "claim", "Database": b.name, "Cause": err.Error()})
 	}
@@ -69,6 +74,8 @@
 	return err
 }
 
+// putClaim writes a claim to the store. If the answer is lost, the claim is read again:
+// the attempt's name tells whose it is.
 func (b *Base) putClaim(ctx context.Context, after group.Term) (elect.Claimed, error) {
 	key := ClaimKey(b.name)
 	old, version, err := b.readClaim(ctx, key)
@@ -80,48 +87,23 @@
 		// at work.
 		return elect.Claimed{Conflict: true, Claim: old}, nil
 	}
-	mine := elect.Claim{Term: max(after, old.Term) + 1, Token: old.Token + 1, Promoter: b.options.Host, Attempt: rand.Text()}
-	if b.options.Rules.SharedTerms {
-		mine.Term = after + 1
-	}
+	mine := elect.Claim{Term: max(after, old.Term) + 1, Promoter: b.options.Host, Attempt: rand.Text()}
 	body, err := json.Marshal(mine)
 	if err != nil {
 		return elect.Claimed{}, err
 	}
 	_, err = b.options.Store.Put(ctx, key, body, version)
 	if err == nil {
-		return b.won(ctx, old, mine)
+		return elect.Claimed{Won: true, Claim: mine}, nil
 	}
 	current, _, readErr := b.readClaim(ctx, key)
 	if readErr != nil {
 		return elect.Claimed{}, errors.CombineErrors(err, readErr)
 	}
 	if current.Attempt == mine.Attempt {
-		return b.won(ctx, old, mine)
-	}
-	return elect.Claimed{Conflict: true, Claim: current}, nil
-}
-
-// sealPause is the pause between tries to seal.
-const sealPause = 50 * time.Millisecond
-
-// won ends a claim that the store holds. Orders that were given under an earlier claim
-// may still be carried out: they are sealed off first, so that what members promise
-// from now on holds until this claim's own order.
-func (b *Base) won(ctx context.Context, old, mine elect.Claim) (elect.Claimed, error) {
-	if b.options.Seal == nil || old.Token == 0 {
 		return elect.Claimed{Won: true, Claim: mine}, nil
 	}
-	for {
-		err := b.options.Seal(ctx, b.name, mine.Token)
-		if err == nil {
-			return elect.Claimed{Won: true, Claim: mine}, nil
-		}
-		duty.Pause(ctx, sealPause)
-		if ctx.Err() != nil {
-			return elect.Claimed{}, err
-		}
-	}
+	return elect.Claimed{Conflict: true, Claim: current}, nil
 }
 
 func (b *Base) readClaim(ctx context.Context, key string) (elect.Claim, store.Version, error) {
--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/view"
@@ -64,6 +65,10 @@
 	m.fenced, m.answered = make(map[string]group.State), make(map[string]bool)
 	won := Note{Kind: ClaimWon, Term: m.claim.Term}
 	actions := []Action{{Note: &won}}
+	if m.rules.SharedTerms {
+		claim := m.claim
+		actions = append(actions, Action{TellClaim: &claim})
+	}
 	primary, found := v.Primary()
 	switch {
 	case !found || m.target == "":
@@ -125,8 +130,11 @@
 	if now.Sub(m.since) >= m.rules.Attempt {
 		return m.giveUp(now)
 	}
+	if m, again := m.fenceAgain(now); len(again) > 0 {
+		return m, again
+	}
 	if m.target != "" && m.rules.SharedTerms {
-		return m.handingWarm(now, v)
+		return m.handingWarm(v)
 	}
 	if m.target != "" && !m.caughtUp && len(m.fenced) > 0 {
 		return m.handing(v)
@@ -156,6 +164,11 @@
 	m.answered = maps.Clone(m.answered)
 	m.answered[a.Member] = true
 	if a.Failed {
+		m.again = maps.Clone(m.again)
+		if m.again == nil {
+			m.again = make(map[string]time.Time)
+		}
+		m.again[a.Member] = now.Add(m.rules.Repoll)
 		return m
 	}
 	m.fenced = maps.Clone(m.fenced)
@@ -166,6 +179,24 @@
 	return m
 }
 
+// fenceAgain fences the members again that gave no answer a while ago: one may have had
+// no connection to spare, or its answer was lost.
+func (m Machine) fenceAgain(now time.Time) (Machine, []Action) {
+	if !m.rules.SharedTerms {
+		return m, nil
+	}
+	var actions []Action
+	for _, member := range slices.Sorted(maps.Keys(m.again)) {
+		if now.Before(m.again[member]) {
+			continue
+		}
+		m.again = maps.Clone(m.again)
+		delete(m.again, member)
+		actions = append(actions, m.fence(member))
+	}
+	return m, actions
+}
+
 // handing waits, with the old primary fenced, until the target has received all
 // of its log; then it fences the other members.
 func (m Machine) handing(v view.View) (Machine, []Action) {
@@ -185,7 +216,7 @@
 // handingWarm waits, with the primary in service and the other replicas fenced, until
 // the target has received all that these have. From then on it receives whatever is
 // acknowledged, so that it can be promoted.
-func (m Machine) handingWarm(now time.Time, v view.View) (Machine, []Action) {
+func (m Machine) handingWarm(v view.View) (Machine, []Action) {
 	target, heard := v.Report(m.target)
 	if !heard || len(m.fenced) < len(v.Members())-2 {
 		return m, nil
@@ -232,6 +263,16 @@
 	}
 }
 
+// afterRefusal returns how long to rest after a member refused to be promoted. Where
+// members promise to every promoter, either another claim outranks this one, which then
+// shows, or the member has ended.
+func (m Machine) afterRefusal() time.Duration {
+	if m.rules.SharedTerms {
+		return m.rules.Stagger * time.Duration(max(m.place, 0)+1)
+	}
+	return m.rules.Attempt
+}
+
 // inForce tells whether a term of a primary carries the claim out.
 func (m Machine) inForce(term group.Term) bool {
 	return term == m.claim.Term || (m.rules.SharedTerms && term > m.claim.Term)
@@ -240,7 +281,7 @@
 func (m Machine) choosing(now time.Time, e Event) (Machine, []Action) {
 	if a := e.Answer; a != nil && a.Member == m.chosen && a.Term == m.claim.Term && !a.Failed {
 		if a.Refused {
-			return m.retreat(now.Add(m.rules.Attempt), AttemptFailed)
+			return m.retreat(now.Add(m.afterRefusal()), AttemptFailed)
 		}
 		if a.State.Role == group.Primary && m.inForce(a.State.Term) {
 			return m.retreat(now.Add(m.rules.Attempt), MemberPromoted)
--- a/internal/elect/event.go
+++ b/internal/elect/event.go
@@ -11,7 +11,7 @@
 // Claim is the value of a database's claim in the store.
 type Claim struct {
 	Term group.Term
-	// Token grows with every claim, also of the same term.
+	// Token tells claims of the same term apart, where members do not.
 	Token    uint64 `json:",omitempty"`
 	Promoter string
 	// Attempt is a random name, by which a promoter knows its own write again.
@@ -35,6 +35,8 @@
 	Claimed *Claimed `json:",omitempty"`
 	// Answer is a member's answer to an order.
 	Answer *Answer `json:",omitempty"`
+	// Rival is another watcher's claim that was won.
+	Rival *Claim `json:",omitempty"`
 	// Handover is an operator's order to change the primary.
 	Handover *Handover `json:",omitempty"`
 }
@@ -76,6 +78,8 @@
 	Promote *Order `json:",omitempty"`
 	// Follow makes a member a replica of the primary.
 	Follow *Follow `json:",omitempty"`
+	// TellClaim tells the other watchers of a claim that was won.
+	TellClaim *Claim `json:",omitempty"`
 	// Note is something to log.
 	Note *Note `json:",omitempty"`
 }
@@ -93,6 +97,8 @@
 		return fmt.Sprint("promote ", a.Promote.Member, " ", a.Promote.Claim.Term)
 	case a.Follow != nil:
 		return fmt.Sprint("follow ", a.Follow.Member, " ", a.Follow.Leader.Name, " ", a.Follow.Term)
+	case a.TellClaim != nil:
+		return fmt.Sprint("tell ", a.TellClaim.Term)
 	case a.Note != nil:
 		return a.Note.Kind.String()
 	default:
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -25,6 +25,8 @@
 	claim    Claim
 	fenced   map[string]group.State
 	answered map[string]bool
+	// again is when members are to be fenced again that gave no answer.
+	again    map[string]time.Time
 	majority time.Time
 	target   string
 	caughtUp bool
@@ -87,6 +89,9 @@
 		return m.idle(), nil
 	}
 	m = m.noticeOthers(now, v)
+	if e.Rival != nil {
+		return m.yield(now, *e.Rival)
+	}
 	primary, known := v.Primary()
 	if known && m.stage != Watching && m.recovered(now, v, primary) {
 		ended := Note{Kind: SuspicionEnded, Term: primary.State.Term, Member: primary.Member}
@@ -107,7 +112,7 @@
 }
 
 func (m Machine) idle() Machine {
-	m.stage, m.votes, m.fenced, m.answered = Watching, nil, nil, nil
+	m.stage, m.votes, m.fenced, m.answered, m.again = Watching, nil, nil, nil, nil
 	m.chosen, m.target, m.caughtUp, m.majority = "", "", false, time.Time{}
 	return m
 }
@@ -138,6 +143,22 @@
 	return m
 }
 
+// yield rests after another watcher's claim, so that its attempt can end, unless this
+// machine's own claim outranks it. Those that have rested act one after the other.
+func (m Machine) yield(now time.Time, rival Claim) (Machine, []Action) {
+	attempting := m.stage == Fencing || m.stage == Choosing
+	if attempting && m.claim.Token > rival.Token {
+		return m, nil
+	}
+	rest := now.Add(m.rules.Attempt + time.Duration(max(m.place, 0))*m.rules.Stagger)
+	if !attempting {
+		m = m.idle()
+		m.rest = rest
+		return m, nil
+	}
+	return m.retreat(rest, ClaimLost)
+}
+
 // suspects tells whether the primary has been silent for too long, or can no
 // longer confirm writes because members have promised a later term.
 func (m Machine) suspects(now time.Time, v view.View) bool {
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -107,6 +107,9 @@
 			a.State.Role = group.Primary
 		}
 		return elect.Event{Answer: a}
+	case "rival":
+		// rival TERM TOKEN
+		return elect.Event{Rival: &elect.Claim{Term: r.term(args[0]), Token: uint64(r.term(args[1]))}}
 	case "handover":
 		return elect.Event{Handover: &elect.Handover{Target: args[0]}}
 	case "shared":
--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -197,9 +197,37 @@
 	}
 }
 
+// borrow gives an order over a pooled connection, to a member that takes no further ones.
+func (c *Control) borrow(ctx context.Context, give func(Orders) (group.State, error)) (group.State, error) {
+	pool := c.options.Pool()
+	conn, err := pool.Get(ctx, member.ReadWrite)
+	if err != nil {
+		return group.State{}, err
+	}
+	line := conn.Line.(*Line) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
+	orders, able := line.Member.(Orders)
+	if !able {
+		pool.Put(conn, true)
+		return group.State{}, &OrderError{Op: "give order"}
+	}
+	deadline, _ := ctx.Deadline()
+	if err = line.SetDeadline(deadline); err == nil {
+		var state group.State
+		state, err = give(orders)
+		pool.Put(conn, err == nil && line.SetDeadline(time.Time{}) == nil)
+		return state, err
+	}
+	pool.Put(conn, false)
+	return group.State{}, err
+}
+
 func (c *Control) order(ctx context.Context, give func(Orders) (group.State, error)) (group.State, error) {
 	if c.orders == nil {
 		orders, err := c.options.Dial(ctx)
+		var denied *DeniedError
+		if errors.As(err, &denied) && denied.Refusal == Full {
+			return c.borrow(ctx, give)
+		}
 		if err != nil {
 			return group.State{}, err
 		}
--- a/internal/gate/dispatch_test.go
+++ b/internal/gate/dispatch_test.go
@@ -36,6 +36,8 @@
 func (alone) Send(string, peer.Frame) bool { return false }
 func (alone) Heard(string) time.Time       { return time.Time{} }
 
+func (alone) TellClaim(string, elect.Claim, []string) {}
+
 func (alone) AskWatchers(string, group.Term, []string) {}
 
 // listing is what the proxy watches.
--- a/internal/gate/world_test.go
+++ b/internal/gate/world_test.go
@@ -219,6 +219,8 @@
 }
 
 // AskWatchers implements ctrl.Watchers. The primary is not watched here.
+func (*fakeHost) TellClaim(string, elect.Claim, []string) {}
+
 func (h *fakeHost) AskWatchers(string, group.Term, []string) {}
 
 // Heard implements gate.Peers.
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -35,10 +35,11 @@
 
 // Frame is one message. Exactly one field is set.
 type Frame struct {
-	Challenge *Challenge `msgpack:",omitempty"`
-	Hello     *Hello     `msgpack:",omitempty"`
-	Welcome   *Welcome   `msgpack:",omitempty"`
-	Beat      *Beat      `msgpack:",omitempty"`
+	Challenge *Challenge  `msgpack:",omitempty"`
+	Hello     *Hello      `msgpack:",omitempty"`
+	Welcome   *Welcome    `msgpack:",omitempty"`
+	Beat      *Beat       `msgpack:",omitempty"`
+	Claim     *ClaimFrame `msgpack:",omitempty"`
 	// Wants is how many connections a proxy wants to each member.
 	Wants   map[string]int `msgpack:",omitempty"`
 	Doc     *book.Doc      `msgpack:",omitempty"`
@@ -117,6 +118,12 @@
 	Proof []byte
 }
 
+// ClaimFrame tells of a claim that was won.
+type ClaimFrame struct {
+	Database string
+	Claim    elect.Claim
+}
+
 // Beat is a heartbeat. It tells the serials of the documents that the peer holds,
 // and goes as an array, since it is sent often.
 type Beat struct {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -28,6 +28,8 @@
 	Wants() map[string]int
 	// TakeWants takes how many another proxy wants.
 	TakeWants(host string, wants map[string]int)
+	// TakeClaim takes another proxy's claim to a term of a database.
+	TakeClaim(database string, c elect.Claim)
 	// TakeWant takes a request for a slot. The answer may come later.
 	TakeWant(host string, w Want, answer func(Grant))
 	// TakeGrant takes the answer to a request for a slot.
@@ -197,6 +199,13 @@
 	}
 }
 
+// TellClaim implements ctrl.Watchers.
+func (m *Mesh) TellClaim(database string, claim elect.Claim, hosts []string) {
+	for _, host := range hosts {
+		m.Send(host, Frame{Claim: &ClaimFrame{Database: database, Claim: claim}})
+	}
+}
+
 // Cancel passes a cancel request on to every neighbour.
 func (m *Mesh) Cancel(processID uint32, secretKey []byte) {
 	for _, host := range m.Neighbours() {
@@ -242,6 +251,8 @@
 		vote := f.Vote.Vote
 		vote.From = host
 		m.handler.TakeVote(f.Vote.Database, vote)
+	case f.Claim != nil:
+		m.handler.TakeClaim(f.Claim.Database, f.Claim.Claim)
 	case f.Want != nil:
 		m.handler.TakeWant(host, *f.Want, func(g Grant) { answers.Offer(Frame{Grant: &g}) })
 	case f.Grant != nil:
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -57,6 +57,7 @@
 func (k *keeper) TakeGrant(string, peer.Grant)                 {}
 func (k *keeper) TakeDone(string, peer.Done)                   {}
 func (k *keeper) TakeLoss(string)                              {}
+func (k *keeper) TakeClaim(string, elect.Claim)                {}
 func (k *keeper) Wants() map[string]int                        { return nil }
 func (k *keeper) TakeWants(string, map[string]int)             {}
 func (k *keeper) TakeDoubt(d peer.Doubt) peer.Opinion          { return peer.Opinion{Host: d.Host} }
