Those who live decide when most watchers have ended

Cause: with two of nine listed hosts running and the primary killed, no promotion happened: agreement counted a majority of all listed watchers. Users ask that the loss of any number of hosts be borne.

Ruled out: the list of hosts (entries of hosts that ended stay in it) and heartbeats (a host that is cut off misses them too).

A host that is cut off while others serve sees entries arrive, and claims nothing. Functions that had grown are split.

--- a/cmd/poplarrouter/serve.go
+++ b/cmd/poplarrouter/serve.go
@@ -27,7 +27,7 @@
 	if path == "" {
 		return config.Settings{}, &cli.UsageError{Detail: "got no -settings, want a settings file"}
 	}
-	raw, err := os.ReadFile(path)
+	raw, err := os.ReadFile(path) //nolint:gosec // the operator names the file
 	if err != nil {
 		return config.Settings{}, err
 	}
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -18,25 +18,15 @@
 	f.Guard.Assert(guard.OneCaller, l.Owner == r.Caller.ID, event.Fields{"CallerID": r.Caller.ID, "Owner": l.Owner})
 	f.Guard.Assert(guard.NoLeavingWork, r.pinned || !l.Member.Closed, event.Fields{"Member": l.Member.Name})
 	f.Guard.Assert(guard.AtMostOnce, !l.MayWrite || r.sends == 0, event.Fields{"CallerID": r.Caller.ID, "Sends": r.sends})
-	if time.Now().After(r.Deadline) && !r.pinned {
-		f.drop(r, true)
-		return Late("send", r)
-	}
 	deadline := r.Deadline.Add(f.AnswerGrace)
-	if err := l.SetDeadline(deadline); err != nil {
-		f.drop(r, false)
-		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
-	}
-	if !r.pinned && l.slot.Lapsed(time.Now()) {
-		f.drop(r, true)
-		return fault.New(fault.Undispatched, "send", "the slot of %s lapsed before the work was sent", l.Member.Name)
+	if err := f.mayBegin(r, deadline); err != nil {
+		return err
 	}
 	r.sends++
 	r.Track(l)
 	defer r.Track(nil)
-	lead := r.lead || (!l.MayWrite && !r.pinned && r.Exchange.Proves() && isPrimary(r.base.View(), l.Member))
 	order := Order{
-		Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, Lead: lead, HeldBytes: f.HeldBytes, Deadline: deadline,
+		Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, Lead: f.mustLead(r), HeldBytes: f.HeldBytes, Deadline: deadline,
 		Replicated: r.replicated,
 	}
 	asked := time.Now()
@@ -51,6 +41,36 @@
 		r.sends--
 		return answer.Turned
 	}
+	return f.conclude(ctx, r, asked)
+}
+
+// mayBegin tells why a request may not be sent any more.
+func (f *filters) mayBegin(r *Request, deadline time.Time) error {
+	l, now := r.Lease, time.Now()
+	if now.After(r.Deadline) && !r.pinned {
+		f.drop(r, true)
+		return Late("send", r)
+	}
+	if err := l.SetDeadline(deadline); err != nil {
+		f.drop(r, false)
+		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
+	}
+	if !r.pinned && l.slot.Lapsed(now) {
+		f.drop(r, true)
+		return fault.New(fault.Undispatched, "send", "the slot of %s lapsed before the work was sent", l.Member.Name)
+	}
+	return nil
+}
+
+// mustLead tells whether the answer to a read must prove that the member leads.
+func (f *filters) mustLead(r *Request) bool {
+	return r.lead || (!r.Lease.MayWrite && !r.pinned && r.Exchange.Proves() && isPrimary(r.base.View(), r.Lease.Member))
+}
+
+// conclude takes what the answer of a member that ran the request shows, and gives the
+// connection back unless a transaction is open.
+func (f *filters) conclude(ctx context.Context, r *Request, asked time.Time) error {
+	l, answer := r.Lease, r.Answer
 	if answer.Shown.Partial {
 		r.base.Observe(view.Report{Member: l.Member.Name, Asked: asked, Heard: time.Now(), State: answer.Shown})
 	}
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -16,12 +16,17 @@
 	watchers []string
 	place    int
 
-	stage    Stage
-	since    time.Time
-	asked    time.Time
-	rest     time.Time
-	term     group.Term
-	votes    map[string]bool
+	stage Stage
+	since time.Time
+	asked time.Time
+	rest  time.Time
+	term  group.Term
+	votes map[string]bool
+	// living are the watchers that have answered since the suspicion began.
+	living map[string]bool
+	// furthest is the longest log of a replica, and grown when it last grew.
+	furthest group.Floor
+	grown    time.Time
 	claim    Claim
 	fenced   map[string]group.State
 	answered map[string]bool
@@ -88,7 +93,7 @@
 	if m.place < 0 && m.target == "" {
 		return m.idle(), nil
 	}
-	m = m.noticeOthers(now, v)
+	m = m.noticeOthers(now, v).noticeGrowth(now, v)
 	if e.Rival != nil {
 		return m.yield(now, *e.Rival)
 	}
@@ -112,7 +117,7 @@
 }
 
 func (m Machine) idle() Machine {
-	m.stage, m.votes, m.fenced, m.answered, m.again = Watching, nil, nil, nil, nil
+	m.stage, m.votes, m.living, m.fenced, m.answered, m.again = Watching, nil, nil, nil, nil, nil
 	m.chosen, m.target, m.caughtUp, m.majority = "", "", false, time.Time{}
 	return m
 }
@@ -182,7 +187,7 @@
 		return m.repair(now, v)
 	}
 	m.stage, m.since, m.asked, m.term = Polling, now, now, v.Term()
-	m.votes = map[string]bool{m.self: true}
+	m.votes, m.living = map[string]bool{m.self: true}, map[string]bool{m.self: true}
 	suspected := Note{Kind: Suspected, Term: m.term}
 	return m, []Action{{Note: &suspected}, {AskWatchers: &AskWatchers{Term: m.term}}}
 }
@@ -191,8 +196,10 @@
 	if e.Vote != nil && e.Vote.Term == m.term {
 		m.votes = maps.Clone(m.votes)
 		m.votes[e.Vote.From] = e.Vote.Down
+		m.living = maps.Clone(m.living)
+		m.living[e.Vote.From] = true
 	}
-	if m.agreed() && m.turn(now) {
+	if (m.agreed() || m.deserted(now)) && m.turn(now) {
 		m.stage, m.since = Claiming, now
 		return m, []Action{{ClaimTerm: &ClaimTerm{After: m.lastTerm(v)}}}
 	}
@@ -215,6 +222,33 @@
 	return down >= group.Majority(len(m.watchers))
 }
 
+// deserted tells whether most watchers have ended, as far as can be seen, and a majority
+// of those that live has found the primary silent. A watcher that is cut off from the
+// others sees the same: while a replica still receives entries, somebody is served.
+func (m Machine) deserted(now time.Time) bool {
+	if m.rules.Desert == 0 || now.Sub(m.since) < m.rules.Desert || now.Sub(m.grown) < m.rules.Desert {
+		return false
+	}
+	down := 0
+	for w := range m.living {
+		if m.votes[w] {
+			down++
+		}
+	}
+	return down >= group.Majority(len(m.living))
+}
+
+// noticeGrowth notes when a replica last received an entry.
+func (m Machine) noticeGrowth(now time.Time, v view.View) Machine {
+	for _, member := range v.Members() {
+		r, heard := v.Report(member.Name)
+		if heard && r.State.Role == group.Replica && m.furthest.Less(r.State.Log()) {
+			m.furthest, m.grown = r.State.Log(), now
+		}
+	}
+	return m
+}
+
 // turn tells whether it is this watcher's time to claim.
 func (m Machine) turn(now time.Time) bool {
 	if now.Before(m.rest) {
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -158,53 +158,68 @@
 	line := l.(*Line) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
 	opens := x.opens()
 	if opens {
-		f := x.opening(line.setup, o)
-		replies, err := f.send(line)
+		refusal, phase, err := x.open(line, o)
 		if err != nil {
 			return chain.Answer{}, err
 		}
-		opened := replies[f.open]
-		if f.lead >= 0 && replies[f.lead].Refusal != Accepted {
-			return x.turned(line, replies[f.lead], opened.Phase)
+		if refusal.Refusal != Accepted {
+			return x.turned(line, refusal, phase)
 		}
-		if opened.Refusal != Accepted {
-			return x.turned(line, opened, opened.Phase)
-		}
-		x.session.Phase = stmt.Open
 	}
 	f := x.statement(line.setup, o)
 	replies, err := f.send(line)
 	if err != nil {
 		return chain.Answer{}, err
 	}
-	last := replies[len(replies)-1]
+	main, last := replies[f.main], replies[len(replies)-1]
 	if f.open >= 0 && replies[f.open].Refusal != Accepted {
 		return x.turned(line, replies[f.open], last.Phase)
 	}
-	main := replies[f.main]
 	if main.Refusal != Accepted && x.session.Phase == stmt.Idle && movable(main.Refusal) {
 		return x.turned(line, main, last.Phase)
 	}
 	x.reply, x.reply.Phase, x.session.Phase = main, last.Phase, last.Phase
 	answer := chain.Answer{Idle: last.Phase == stmt.Idle, Whole: true, At: last.Position}
-	if main.Refusal != Accepted {
-		return answer, nil
+	if main.Refusal == Accepted {
+		answer.Leased = o.Lead || (opens && o.Write)
+		x.show(&answer, o, last.Position)
+	}
+	return answer, nil
+}
+
+// open opens the caller's transaction. It returns the reply that refuses it, if one
+// does, and the phase behind it.
+func (x *Exchange) open(line *Line, o chain.Order) (Reply, stmt.Phase, error) {
+	f := x.opening(line.setup, o)
+	replies, err := f.send(line)
+	if err != nil {
+		return Reply{}, stmt.Idle, err
+	}
+	opened := replies[f.open]
+	if f.lead >= 0 && replies[f.lead].Refusal != Accepted {
+		return replies[f.lead], opened.Phase, nil
+	}
+	if opened.Refusal == Accepted {
+		x.session.Phase = stmt.Open
 	}
-	answer.Leased = o.Lead || (opens && o.Write)
+	return opened, opened.Phase, nil
+}
+
+// show completes the answer to a statement that ran with what it shows of the member.
+func (x *Exchange) show(answer *chain.Answer, o chain.Order, at group.Floor) {
 	role := group.Replica
 	if o.Write || o.Lead {
 		role = group.Primary
 	}
-	if !last.Position.IsZero() {
-		answer.Shown = stateOf(role, last.Position)
+	if !at.IsZero() {
+		answer.Shown = stateOf(role, at)
 	}
+	x.session = x.session.WithRun(x.query.Statement, x.session.Phase)
 	// A commit of nothing needs no replica.
-	x.session = x.session.WithRun(x.query.Statement, last.Phase)
 	if o.Write && answer.Idle && x.session.Wrote && x.query.Statement.Kind != stmt.Rollback {
-		answer.Kept = last.Position
-		answer.Shown.Confirmed = o.Replicated && answer.Kept != (group.Floor{})
+		answer.Kept = at
+		answer.Shown.Confirmed = o.Replicated && !at.IsZero()
 	}
-	return answer, nil
 }
 
 // movable tells whether work that a member refused may run on another one, or
--- a/internal/view/sight.go
+++ b/internal/view/sight.go
@@ -38,18 +38,21 @@
 		v.points = withPoint(v.points, Point{Floor: at, Asked: r.Asked})
 		return v
 	}
-	points := slices.Clone(v.shown.points)
-	if n := len(points); n > 0 && points[n-1].Floor == at {
-		// Where it stood first and last tells as much as all between.
-		if n > 1 && points[n-2].Floor == at {
-			points = points[:n-1]
-		}
+	v.shown.points = withSight(v.shown.points, Point{Floor: at, Asked: r.Asked})
+	return v
+}
+
+// withSight adds a sighting. Where the primary stood first and last at a position tells
+// as much as all between.
+func withSight(points []Point, p Point) []Point {
+	points = slices.Clone(points)
+	if n := len(points); n > 1 && points[n-1].Floor == p.Floor && points[n-2].Floor == p.Floor {
+		points = points[:n-1]
 	}
 	if len(points) >= maxSightings {
 		points = points[1:]
 	}
-	v.shown.points = append(points, Point{Floor: at, Asked: r.Asked})
-	return v
+	return append(points, p)
 }
 
 // withEvidence proves the sightings before a replica's last entry, if that entry is of
