--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -63,7 +63,7 @@
 	// promotions, where members do not take them themselves.
 	PromoteAddress string
 	// Regions gives the region of each data centre, where the lists of members do not.
-	Regions map[string]string
+	Regions map[string]string `json:",omitempty"`
 	// PeerSecret authenticates proxies to one another.
 	PeerSecret string
 	// OperatorSecret authenticates operators' orders.
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -155,10 +155,14 @@
 }
 
 // asksInFull tells whether a member's promises are needed: those of a majority while
-// nothing else has proven for some time that the primary leads, and those of a member
-// that has made one or stands still behind the primary.
+// nothing else has proven for some time that the primary leads, those of a member that
+// has made one or stands still behind the primary, and those of all that lead in their
+// own eyes if there are several.
 func (b *Base) asksInFull(m view.Member) bool {
 	v := b.View()
+	if v.Contested(m.Name) {
+		return true
+	}
 	primary, found := v.Primary()
 	if found && primary.Member == m.Name {
 		return false
--- a/internal/view/sight_test.go
+++ b/internal/view/sight_test.go
@@ -96,4 +96,11 @@
 		WithReport(seen("b", group.Primary, t0.Add(ms(1)), 1, 10))
 	primary, _ := v.Primary()
 	g.Expect(primary.Member).To(Equal("b"))
+	g.Expect(v.Contested("a")).To(BeTrue())
+	g.Expect(v.Contested("b")).To(BeTrue())
+	g.Expect(v.Contested("c")).To(BeFalse())
+	full := seen("b", group.Primary, t0.Add(ms(2)), 1, 10)
+	full.State.Term, full.State.Partial = 2, false
+	g.Expect(v.WithReport(full).Contested("b")).To(BeFalse(), "its term is known")
+	g.Expect(v.WithSilence("a").Contested("b")).To(BeFalse())
 }
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -224,6 +224,20 @@
 	return primary, found
 }
 
+// Contested tells whether a member leads in its own eyes, and another one too. A new
+// primary shows its term only with its promises, or once it has written.
+func (v View) Contested(member string) bool {
+	leaders, leads, term := 0, false, v.Term()
+	for _, m := range v.members {
+		r, heard := v.reports[m.Name]
+		if heard && r.State.Role == group.Primary && r.State.Term == term && !v.silent[m.Name] {
+			leaders++
+			leads = leads || m.Name == member
+		}
+	}
+	return leads && leaders > 1
+}
+
 // Proven returns the time up to which a majority is known to have had no other
 // primary.
 func (v View) Proven() time.Time {
