--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -51,7 +51,7 @@
 	onStop(lc, closePromoter)
 	onStop(lc, ctrl.Enrol(st, log, hostOf(s, mesh.Address()), storeRetry))
 	shares := share.New(share.Options{
-		Host: s.Host, Queue: s.Limits.Queue, Connections: l.connections, Hosts: l.hosts, Resized: l.resized,
+		Host: s.Host, Queue: s.Limits.Queue, Connections: l.connections, Hosts: l.hosts, Listed: l.listed, Resized: l.resized,
 	})
 	p := &ports{
 		protocol: flow.Protocol{Wrap: caller.New},
@@ -136,6 +136,14 @@
 
 func (l *lines) hosts() []string { return l.books.Book().LiveHosts() }
 
+func (l *lines) listed(m view.Member) bool {
+	base, found := l.bases.Base(m.Database)
+	if found {
+		_, found = base.View().Member(m.Name)
+	}
+	return found
+}
+
 func (l *lines) resized(m view.Member, size int) { l.bases.Pool(m.Database, m).Resize(size) }
 
 // noDispatcher lists no database, since the members know no dispatcher.
--- a/internal/labpf/labpf.go
+++ b/internal/labpf/labpf.go
@@ -104,7 +104,7 @@
 		return err
 	}
 	p.stops = append(p.stops, m.stop)
-	p.Objects.Put("servers", m.name, map[string]any{
+	p.Put("servers", m.name, map[string]any{
 		"service": Database, "address": m.address, "zone": DataCentre(i), "version": "v1", "slots": 5, "state": "ready", "seq": 1,
 	})
 	return nil
@@ -127,7 +127,7 @@
 			"priority": i % 3, "service": Database, "max_staleness_ms": r.Staleness.Milliseconds(),
 		})
 	}
-	p.Objects.Put("config", "main", map[string]any{
+	p.Put("config", "main", map[string]any{
 		"version": version, "routes": list, "limits": map[string]any{"tx_idle_ms": 3000},
 		"services": []map[string]any{{"name": Database, "max_conns": p.options.Connections, "sync_replicas": 1}},
 	})
--- a/internal/labpf/path_test.go
+++ b/internal/labpf/path_test.go
@@ -100,7 +100,6 @@
 type caller struct {
 	conn    net.Conn
 	answers *bufio.Reader
-	id      int
 }
 
 var lastID atomic.Int64
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -33,6 +33,8 @@
 	Connections func(database string) int
 	// Hosts returns the proxies that share them.
 	Hosts func() []string
+	// Listed tells whether a member is still one of its database.
+	Listed func(m view.Member) bool
 	// Resized is told of the share of a member, unless it is nil.
 	Resized func(m view.Member, size int)
 }
@@ -112,14 +114,19 @@
 	}
 }
 
-// Wants returns what this proxy wants, for its heartbeat, and brings all shares up to
-// date.
+// Wants returns what this proxy wants, for its heartbeat, brings all shares up to date,
+// and drops those of members that are no longer listed.
 func (s *Shares) Wants() map[string]int {
 	told := s.wants.tell()
 	now := time.Now()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, g := range s.gates {
+	for name, g := range s.gates {
+		if !s.options.Listed(g.member) {
+			g.Close()
+			delete(s.gates, name)
+			continue
+		}
 		s.resize(g.member.Database, g, now)
 	}
 	return told
@@ -128,18 +135,6 @@
 // TakeWants takes what another proxy wants.
 func (s *Shares) TakeWants(host string, of map[string]int) { s.wants.take(host, of, time.Now()) }
 
-// Keep drops the gates of members that are no longer listed.
-func (s *Shares) Keep(listed func(member string) bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for name, g := range s.gates {
-		if !listed(name) {
-			g.Close()
-			delete(s.gates, name)
-		}
-	}
-}
-
 // Queues returns the gates by the names of their members.
 func (s *Shares) Queues() map[string]*gate.Gate {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/share/share_test.go
@@ -0,0 +1,78 @@
+package share_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/share"
+	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+var near = view.Member{Name: "near", Database: "stock"}
+
+// newShares returns the shares of one of two proxies at members of 12 connections, and
+// what tells whether members are listed.
+func newShares() (*share.Shares, *bool) {
+	listed := true
+	return share.New(share.Options{
+		Host: "a", Queue: 10, Connections: func(string) int { return 12 }, Hosts: func() []string { return []string{"a", "b"} },
+		Listed: func(view.Member) bool { return listed },
+	}), &listed
+}
+
+func request() *chain.Request {
+	return &chain.Request{Arrived: time.Now(), Work: sheet.Row{Rank: 1, Deadline: 100 * time.Millisecond, Aim: 80 * time.Millisecond}}
+}
+
+// TestWorkBeyondTheShareIsRefusedWhileAnotherTryHelps is a burst of writes at one proxy:
+// what finds no place is told so after a quarter of its aim, not at its deadline.
+func TestWorkBeyondTheShareIsRefusedWhileAnotherTryHelps(t *testing.T) {
+	g := NewWithT(t)
+	shares, _ := newShares()
+	room := shares.Room("stock", near)
+	g.Expect(room).To(BeNumerically(">", 0))
+	for range room {
+		_, err := shares.Acquire(t.Context(), "stock", near, request())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	r := request()
+	ctx, cancel := context.WithDeadline(t.Context(), r.Arrived.Add(r.Work.Patience()))
+	defer cancel()
+	_, err := shares.Acquire(ctx, "stock", near, r)
+	g.Expect(fault.Of(err).Kind).To(Equal(fault.Late))
+	g.Expect(fault.Of(err).Kind.Outcome()).To(Equal(fault.NotRun))
+	g.Expect(r.Work.Patience()).To(Equal(20 * time.Millisecond))
+}
+
+// TestTheShareFollowsWhatOthersWant is a burst that ends here and begins elsewhere.
+func TestTheShareFollowsWhatOthersWant(t *testing.T) {
+	g := NewWithT(t)
+	shares, _ := newShares()
+	shares.TakeWants("b", map[string]int{"near": 0})
+	for range 3 {
+		_, err := shares.Acquire(t.Context(), "stock", near, request())
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	g.Expect(shares.Wants()).To(HaveKeyWithValue("near", 3))
+	alone := shares.Room("stock", near)
+	shares.TakeWants("b", map[string]int{"near": 40})
+	shares.Wants()
+	g.Expect(shares.Room("stock", near)).To(BeNumerically("<", alone))
+	g.Expect(shares.Wants()).To(HaveKeyWithValue("near", 1), "what was wanted fades over some heartbeats")
+}
+
+func TestMembersThatAreGoneKeepNothing(t *testing.T) {
+	g := NewWithT(t)
+	shares, listed := newShares()
+	shares.Room("stock", near)
+	g.Expect(shares.Queues()).To(HaveLen(1))
+	*listed = false
+	shares.Wants()
+	g.Expect(shares.Queues()).To(BeEmpty())
+}
