A host that was suspended relies on nothing from before; drains fit into the grace time

Cause: the steady clock of a host that is suspended does not count that time, so that a lease looked younger than it was; and the times of a drain were those of the two sites.

Change: the boot clock tells a suspension, after which work at a primary needs a proof from behind it. GraceMs sets the times of a drain: half for open transactions, nine tenths for all.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -217,6 +217,7 @@
 		AnswerGrace: p.answerGrace,
 		ReplicaWait: p.replicaWait,
 		Lease:       p.lease,
+		Suspended:   suspended,
 		Confirm:     s.Timing.ConfirmMs.Duration(),
 		Draining:    leaving.draining,
 		Slots:       p.slots(d),
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -198,6 +198,9 @@
 	// ReplicaWait is how long a read waits for a replica of its own region to reach
 	// its floor before it goes further.
 	ReplicaWait time.Duration
+	// Suspended returns for how long the host has been suspended since it started, a
+	// time that its steady clock does not count; nil stands for never.
+	Suspended func() time.Duration
 	// Lease is how long work at a primary may rest on the last proof that it leads,
 	// where its answers alone do not prove it.
 	Lease time.Duration
@@ -232,7 +235,10 @@
 
 // New returns the chain in the order in which its filters run.
 func New(o Options) Handler {
-	f := &filters{Options: o}
+	if o.Suspended == nil {
+		o.Suspended = func() time.Duration { return 0 }
+	}
+	f := &filters{Options: o, resumes: &resumes{suspended: o.Suspended}}
 	h := f.run
 	for _, filter := range []Filter{f.confirm, f.lend, f.route, f.admit, f.classify} {
 		h = filter(h)
@@ -240,4 +246,7 @@
 	return h
 }
 
-type filters struct{ Options }
+type filters struct {
+	Options
+	resumes *resumes
+}
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -99,6 +99,9 @@
 	ctx, cancel := context.WithDeadline(ctx, r.Deadline)
 	defer cancel()
 	since := arrived.Add(-f.Lease)
+	if resumed := f.resumes.since(arrived); resumed.After(since) {
+		since = resumed
+	}
 	v, proven := r.base.Await(ctx, func(v view.View) bool { return v.Proven().After(since) })
 	primary, found := v.Primary()
 	return proven && found && primary.Member == r.member.Name
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -120,6 +120,9 @@
 	WatchMs Millis
 	// DrainMs is how long a leaving proxy waits for open transactions.
 	DrainMs Millis
+	// GraceMs is how long after SIGTERM the process is killed, or 0 if it is not. The
+	// times of a drain then follow from it.
+	GraceMs Millis
 	// LingerMs is how long a leaving proxy still serves, so that the balancer can
 	// learn of it.
 	LingerMs Millis
@@ -129,6 +132,18 @@
 	IdleCheckMs Millis
 }
 
+// WithGrace returns the timing with the times of a drain that fit into GraceMs: open
+// transactions may go on for half of it, and the last tenth is left for the end.
+func (t Timing) WithGrace() Timing {
+	if t.GraceMs == 0 {
+		return t
+	}
+	t.DrainMs = t.GraceMs * 9 / 10
+	t.OpenMs = t.GraceMs / 2
+	t.LingerMs = min(t.LingerMs, t.GraceMs*4/10)
+	return t
+}
+
 // Default returns the settings that a file need not give.
 func Default() Settings {
 	return Settings{
@@ -150,6 +165,7 @@
 			BeatMs:       1000,
 			WatchMs:      20_000,
 			DrainMs:      20_000,
+			GraceMs:      0,
 			LingerMs:     1,
 			OpenMs:       20_000,
 			IdleCheckMs:  5_000,
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -28,6 +28,22 @@
 	g.Expect(s.Timing).To(Equal(config.Default().Timing))
 }
 
+func TestSettingsOfThePlatform(t *testing.T) {
+	g := NewWithT(t)
+	more := `"Protocol": "Lines", "PromoteAddress": "127.0.0.1:5", "Regions": {"d": "r"}, "Timing": {"GraceMs": "6s", "LingerMs": 2200, "WatchMs": "4000ms"}, "Host": "h"`
+	s, err := config.Parse([]byte(strings.Replace(valid, `"Host": "h"`, more, 1)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(s.Timing.WatchMs).To(BeEquivalentTo(4000))
+	g.Expect([]config.Millis{s.Timing.DrainMs, s.Timing.OpenMs, s.Timing.LingerMs}).To(Equal([]config.Millis{5400, 3000, 2200}))
+	again, err := json.Marshal(s)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(string(again)).To(ContainSubstring(`"Protocol":"Lines"`))
+	_, err = config.Parse([]byte(strings.Replace(valid, `"Host": "h"`, `"Host": "h", "Protocol": "Lines"`, 1)))
+	g.Expect(err).To(MatchError(And(ContainSubstring("PromoteAddress"), ContainSubstring("Regions"))))
+	_, err = config.Parse([]byte(strings.Replace(valid, `"Host": "h"`, `"Host": "h", "Protocol": "Letters", "Timing": {"PollMs": "soon"}`, 1)))
+	g.Expect(err).To(MatchError(ContainSubstring("Timing.PollMs")))
+}
+
 func TestAllFaultsAreListedByPath(t *testing.T) {
 	g := NewWithT(t)
 	_, err := config.Parse([]byte(strings.Replace(valid, `"Host": "h"`, `"Hots": "h", "Timing": {"PollMs": "soon", "Hurry": 1}, "Limits": {"Queue": null}`, 1)))
--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -43,7 +43,7 @@
 
 // Error implements error.
 func (e *DeniedError) Error() string {
-	return fmt.Sprintf("reach member: got refusal %d: %s", e.Refusal, e.Text)
+	return fmt.Sprintf("reach member: refused as %s: %s", e.Refusal, e.Text)
 }
 
 // OutrankedError reports a promotion that is refused for good.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -68,6 +68,14 @@
 	InDoubt
 )
 
+// String returns the refusal in words.
+func (r Refusal) String() string {
+	return [...]string{
+		"accepted", "busy", "behind", "not primary", "elsewhere", "full", "aborted", "unprepared", "unlisted", "malformed",
+		"too large", "failed", "timed out", "in doubt",
+	}[r]
+}
+
 // refusals give the refusal that a caller is told for each fault.
 var refusals = map[fault.Kind]Refusal{
 	fault.Protocol: Malformed,
