A member that follows the claimed term promises nothing; open transactions outlive their routes

Cause: found by reading. A promoter that fences a member which already follows another primary of the claimed term counted its answer as a promise, and would have promoted on what others had promised before. And a transaction whose route was dropped was refused at its next statement, although a change applies from the next transaction on.

Change: such an answer ends the attempt; a pinned request keeps the row of the sheet with which its transaction began.

Both tests were red without: the trace promoted b, the commit got NODB.

--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -13,7 +13,12 @@
 // work stays what it was when the transaction began.
 func (f *filters) classify(next Handler) Handler {
 	return func(ctx context.Context, r *Request) error {
-		r.pinned = r.Lease != nil
+		if r.pinned = r.Lease != nil; r.pinned {
+			// A change of the sheet applies from the next transaction on.
+			r.Work, r.replicated = r.Lease.work, r.Lease.replicated
+			r.Deadline = r.Arrived.Add(r.Work.Deadline)
+			return next(ctx, r)
+		}
 		held := f.Books.Book()
 		rows, listed := held.Sheet().Access(r.Caller.Service, r.Caller.Name)
 		if !listed {
@@ -24,22 +29,12 @@
 			return fault.New(fault.Unlisted, "classify", "the sheet lists no kind %q for caller %q on service %q", r.Label, r.Caller.Name, r.Caller.Service)
 		}
 		work.Access = r.Exchange.Access(work.Access)
-		if r.pinned {
-			work.Access = accessOf(r.Lease)
-		}
 		r.Work, r.replicated = work, held.Replicated(work.Database)
 		r.Deadline = r.Arrived.Add(work.Deadline)
 		return next(ctx, r)
 	}
 }
 
-func accessOf(l *Lease) sheet.Access {
-	if l.MayWrite {
-		return sheet.Write
-	}
-	return sheet.Read
-}
-
 // admit bounds the requests in the chain by rank, and refuses work for what is
 // leaving.
 func (f *filters) admit(next Handler) Handler {
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -44,6 +44,10 @@
 	pool *member.Pool
 	slot Slot
 	base *ctrl.Base
+	// work is the sheet's row when the transaction began, and replicated what was known
+	// of its database.
+	work       sheet.Row
+	replicated bool
 }
 
 // Release gives the connection back. A connection that is not clean is closed.
--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -125,6 +125,9 @@
 		if a.Refused {
 			return m.retreat(now.Add(m.rules.Attempt), AttemptFailed)
 		}
+		if m.overtaken(*a) {
+			return m.retreat(now.Add(m.rules.Attempt), ClaimLost)
+		}
 		m = m.withAnswer(now, v, *a)
 	}
 	if now.Sub(m.since) >= m.rules.Attempt {
@@ -147,6 +150,11 @@
 	return m, []Action{{Promote: &Order{Member: m.chosen, Claim: m.claim}}}
 }
 
+// overtaken tells whether a member promised nothing, since the term has begun already.
+func (m Machine) overtaken(a Answer) bool {
+	return m.rules.SharedTerms && !a.Failed && a.State.Term >= m.claim.Term
+}
+
 // leased tells whether reads may still rest on the former primary.
 func (m Machine) leased(now time.Time, v view.View) bool {
 	primary, found := v.Primary()
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -100,11 +100,14 @@
 	case "unreachable":
 		return elect.Event{Claimed: &elect.Claimed{}}
 	case "answer":
-		// answer MEMBER TERM promised|refused|failed|promoted ENTRYTERM RECEIVED
+		// answer MEMBER TERM promised|refused|failed|promoted|follows ENTRYTERM RECEIVED
 		a := &elect.Answer{Member: args[0], Term: r.term(args[1]), Refused: args[2] == "refused", Failed: args[2] == "failed"}
-		a.State = group.State{EntryTerm: r.term(args[3]), Received: group.Position(r.term(args[4])), Term: a.Term}
-		if args[2] == "promoted" {
-			a.State.Role = group.Primary
+		a.State = group.State{EntryTerm: r.term(args[3]), Received: group.Position(r.term(args[4])), Term: r.term(args[3])}
+		switch args[2] {
+		case "promoted":
+			a.State.Role, a.State.Term = group.Primary, a.Term
+		case "follows":
+			a.State.Term = a.Term
 		}
 		return elect.Event{Answer: a}
 	case "rival":
--- a/internal/labpf/path_test.go
+++ b/internal/labpf/path_test.go
@@ -363,6 +363,27 @@
 	s.Expect(s.platform.Outcome().Promotions).To(BeZero())
 }
 
+// TestAnOpenTransactionOutlivesItsRoute drops a route while a transaction is open on it.
+func TestAnOpenTransactionOutlivesItsRoute(t *testing.T) {
+	s := newSite(t, 1)
+	s.enter(0, labpf.Session)
+	s.platform.PutConfig(5, labpf.Route{Name: "added", Kind: "primary"})
+	c := s.enter(0, "added")
+	s.comes(c, "WRITE k 1")
+	s.does(c, "BEGIN")
+	s.does(c, "WRITE k 2")
+	s.platform.PutConfig(9)
+	s.Eventually(func() error {
+		_, err := dial(s.proxies[0].Address(), "added")
+		return err
+	}, patience, 20*time.Millisecond).Should(MatchError(ContainSubstring("NODB")))
+	s.does(c, "COMMIT")
+	s.Expect(s.platform.Count("2")).To(Equal(1))
+	_, code, _, err := c.ask("READ k")
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect(code).To(Equal("NODB"))
+}
+
 func TestRoutesComeAndGoWhileTheStoreForgets(t *testing.T) {
 	s := newSite(t, 2)
 	s.enter(0, labpf.Session)
