Duties wait for the parts of a proxy that are built after its ports

Cause: the race detector on the platform's whole-path tests: the watch over a database could ask a member before the ports knew the pools, and would have ended the process.

Change: such uses wait until the parts are there.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/fx"
 
+	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
@@ -39,14 +40,37 @@
 
 // lines holds the parts of a proxy that are built after its ports.
 type lines struct {
-	settings config.Settings
-	bases    *ctrl.Bases
-	books    *ctrl.Books
+	// bound closes when the parts are there. Duties that these start wait for it.
+	bound chan struct{}
+	bases *ctrl.Bases
+	books *ctrl.Books
+}
+
+func (l *lines) bind(bases *ctrl.Bases, books *ctrl.Books) {
+	l.bases, l.books = bases, books
+	close(l.bound)
+}
+
+// parts returns the parts that are built after the ports.
+func (l *lines) parts() (*ctrl.Bases, *ctrl.Books) {
+	<-l.bound
+	return l.bases, l.books
+}
+
+func (l *lines) book() book.Book {
+	_, books := l.parts()
+	return books.Book()
+}
+
+// pool returns the pool of connections to a member.
+func (l *lines) pool(m view.Member) *member.Pool {
+	bases, _ := l.parts()
+	return bases.Pool(m.Database, m)
 }
 
 // newLinePorts returns the parts for members that answer typed statements.
 func newLinePorts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Mesh, bytes *meter.Meter) *ports {
-	l := &lines{settings: s}
+	l := &lines{bound: make(chan struct{})}
 	promoter, closePromoter := memb.NewPromoter(s.PromoteAddress, s.Host, plainDial(dialTimeout))
 	onStop(lc, closePromoter)
 	onStop(lc, ctrl.Enrol(st, log, hostOf(s, mesh.Address()), storeRetry))
@@ -68,7 +92,7 @@
 		queues:  shares.Queues,
 		wants:   shares,
 		watched: noDispatcher{duty.NewCell[[]ctrl.Watched](nil)},
-		bind:    func(bases *ctrl.Bases, books *ctrl.Books) { l.bases, l.books = bases, books },
+		bind:    l.bind,
 	}
 	dial := func(ctx context.Context, m view.Member, kind meter.Kind) (flow.Orders, error) {
 		return memb.Dial(ctx, bytes.Dial(kind, m.Region), m.Database, m, s.Host)
@@ -92,7 +116,7 @@
 		return flow.NewControl(flow.ControlOptions{
 			Database: m.Database,
 			Member:   m,
-			Pool:     func() *member.Pool { return l.bases.Pool(m.Database, m) },
+			Pool:     func() *member.Pool { return l.pool(m) },
 			Dial:     func(ctx context.Context) (flow.Orders, error) { return dial(ctx, m, meter.Control) },
 			Promoter: promoter,
 		})
@@ -132,19 +156,20 @@
 }
 
 // connections returns how many connections a member of a database takes.
-func (l *lines) connections(database string) int { return l.books.Book().Connections(database) }
+func (l *lines) connections(database string) int { return l.book().Connections(database) }
 
-func (l *lines) hosts() []string { return l.books.Book().LiveHosts() }
+func (l *lines) hosts() []string { return l.book().LiveHosts() }
 
 func (l *lines) listed(m view.Member) bool {
-	base, found := l.bases.Base(m.Database)
+	bases, _ := l.parts()
+	base, found := bases.Base(m.Database)
 	if found {
 		_, found = base.View().Member(m.Name)
 	}
 	return found
 }
 
-func (l *lines) resized(m view.Member, size int) { l.bases.Pool(m.Database, m).Resize(size) }
+func (l *lines) resized(m view.Member, size int) { l.pool(m).Resize(size) }
 
 // noDispatcher lists no database, since the members know no dispatcher.
 type noDispatcher struct{ *duty.Cell[[]ctrl.Watched] }
