An acknowledged commit proves the time at which it was asked for, and no more

Cause: found by reading. The position behind a commit may lie beyond the entry that a replica acknowledged. Ruled out that it proved too much so far: an answer to an older question than the last one is dropped, so that no later sighting was there to be proven; the test was therefore not red before. The code no longer rests on that order.

--- a/internal/view/sight.go
+++ b/internal/view/sight.go
@@ -34,7 +34,8 @@
 	case r.Member != primary.Member:
 		return v.withEvidence(primary, at)
 	case r.State.Confirmed:
-		v = v.withEvidence(primary, at)
+		// The position may lie beyond the entry that was acknowledged: it proves nothing
+		// of what was seen since.
 		v.points = withPoint(v.points, Point{Floor: at, Asked: r.Asked})
 		return v
 	}
--- a/internal/view/sight_test.go
+++ b/internal/view/sight_test.go
@@ -61,6 +61,15 @@
 	acknowledged := seen("a", group.Primary, t0, 1, 11)
 	acknowledged.State.Confirmed = true
 	g.Expect(trio().WithReport(acknowledged).Proven()).To(Equal(t0))
+	// Others have written meanwhile: the answer tells a position beyond the entry that a
+	// replica has.
+	acknowledged.State.Received, acknowledged.State.Applied = 13, 13
+	acknowledged.Heard = t0.Add(ms(900))
+	v := trio().WithReport(seen("a", group.Primary, t0.Add(ms(-1)), 1, 10))
+	later := v.WithReport(seen("a", group.Primary, t0.Add(ms(800)), 1, 12))
+	g.Expect(later.WithReport(acknowledged).Proven()).To(BeZero(), "an answer to an older question changes nothing")
+	acknowledged.Asked = t0.Add(ms(810))
+	g.Expect(later.WithReport(acknowledged).Proven()).To(Equal(acknowledged.Asked))
 }
 
 // TestAnEntryOfAnotherTermProvesNothing has a replica follow another primary.
