A member that is full is not silent

After all proxies had ended at once, the connections of the ended processes filled a member for some seconds; its answer that it takes no more counted as silence, and all eight proxies suspected its primary.

Change: a question that is refused for want of connections tells nothing. Red before: the test got the refusal instead of a busy member.

--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -108,6 +108,11 @@
 func (c *Control) Ask(ctx context.Context, full bool) (group.State, error) {
 	pool := c.options.Pool()
 	conn, err := pool.TryGet(ctx, member.ReadWrite)
+	var denied *DeniedError
+	if errors.As(err, &denied) && denied.Refusal == Full {
+		// A member that refuses connections is neither silent nor replaced for it.
+		return group.State{}, &member.BusyError{Member: c.options.Member.Name}
+	}
 	if err != nil {
 		return group.State{}, err
 	}
@@ -122,7 +127,6 @@
 		ask = line.State
 	}
 	state, err := ask()
-	var denied *DeniedError
 	if errors.As(err, &denied) {
 		// The member has no room for the question.
 		pool.Put(conn, line.SetDeadline(time.Time{}) == nil)
