--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -55,8 +55,6 @@
 	// Replicated tells which databases acknowledge a write only once a replica has
 	// received it.
 	Replicated map[string]bool `json:",omitempty"`
-	// IdleTransaction is how long a caller may leave a transaction idle, or 0.
-	IdleTransaction time.Duration `json:",omitempty"`
 }
 
 // DatabasesDoc is the body of the document that lists the databases.
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -94,7 +94,7 @@
 
 // opening returns what opens a transaction of the caller at a member.
 func (x *Exchange) opening(setup stmt.Setup, o chain.Order) flight {
-	f := x.settingUp(setup, x.session.Start)
+	f, _ := x.settingUp(setup, x.session.Start)
 	q := Query{ID: x.query.ID, Statement: x.session.Start}
 	switch {
 	case o.Write:
@@ -112,29 +112,31 @@
 
 // statement returns what runs the statement at a member.
 func (x *Exchange) statement(setup stmt.Setup, o chain.Order) flight {
-	f := x.settingUp(setup, x.query.Statement)
+	f, prepared := x.settingUp(setup, x.query.Statement)
 	main := x.query
-	_, main.Prepared, _ = setup.Lacking(x.session, x.query.Statement)
+	main.Prepared = prepared
 	reads := x.session.Phase == stmt.Idle && !o.Write
 	if reads && o.Lead {
-		f.open = f.add(Query{Statement: stmt.Statement{Kind: stmt.Begin}})
+		f.open = f.add(probe[0])
 	} else if reads {
 		main.Floor = o.Floor
 	}
 	f.main = f.add(main)
 	if f.open >= 0 {
-		f.add(Query{Statement: stmt.Statement{Kind: stmt.Rollback}})
+		f.add(probe[1])
 	}
 	return f
 }
 
-func (x *Exchange) settingUp(setup stmt.Setup, st stmt.Statement) flight {
-	before, _, then := setup.Lacking(x.session, st)
-	f := flight{lead: -1, open: -1, main: -1, then: then}
+// settingUp returns what a connection needs before a statement, and the name under which
+// it then knows the prepared statement that is executed.
+func (x *Exchange) settingUp(setup stmt.Setup, st stmt.Statement) (f flight, prepared string) {
+	before, prepared, then := setup.Lacking(x.session, st)
+	f = flight{lead: -1, open: -1, main: -1, then: then}
 	for _, b := range before {
 		f.add(Query{Statement: b})
 	}
-	return f
+	return f, prepared
 }
 
 // send sends a flight and returns the replies. It fails if the connection could not be
