A database has home hosts; other hosts relay their callers' requests to them

Cause: at 66 hosts every host watched every database and held connections to all 24 members, of which each takes 49.

Ruled out: lending single connections between hosts.

Change: nine homes for each database (place), by weighted rendezvous over the listed hosts, regions in turns. Only homes watch it and share its connections. Other hosts classify a request and send it on (relay): one job at a time on a connection, answered by one outcome, so that a job without an outcome may have run and one that did not arrive whole has not. Homes that are silent, leaving or out of reach are tried last; deputies, and then the caller's own host, serve a database while no home can be reached. Sites of up to nine hosts serve all databases from every host, as before. A watcher whose elders have all ended no longer waits for their turns.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"io"
+	"net"
 	"reflect"
 	"sync"
 	"time"
@@ -189,6 +190,7 @@
 		Open:  p.open,
 		Hosts: mesh.SetHosts,
 		Hold:  p.hold,
+		Homes: p.homes,
 	})
 	p.bind(bases, books)
 	onStop(lc, cleanUp)
@@ -221,6 +223,7 @@
 		Confirm:     s.Timing.ConfirmMs.Duration(),
 		Draining:    leaving.draining,
 		Slots:       p.slots(d),
+		Relay:       p.relay,
 	})
 }
 
@@ -242,6 +245,7 @@
 	f, cleanUp, err := front.New(front.Options{
 		Address:      s.CallerAddress,
 		Protocol:     p.protocol,
+		Relayed:      p.relayed,
 		Connections:  s.Limits.CallerConnections,
 		Places:       newQuota(s.Limits.CallerConnections),
 		RequestBytes: s.Limits.RequestBytes,
@@ -284,6 +288,11 @@
 // Cancel implements peer.Handler.
 func (h *handler) Cancel(processID uint32, secretKey []byte) { h.front.Cancel(processID, secretKey) }
 
+// ServeRelay implements peer.Handler.
+func (h *handler) ServeRelay(ctx context.Context, conn net.Conn, host string) error {
+	return h.front.ServeRelay(ctx, conn, host)
+}
+
 // Judge implements peer.Handler.
 func (h *handler) Judge(database string, term group.Term) bool { return h.Bases.Judge(database, term) }
 
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -19,6 +19,8 @@
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/place"
+	"poplarrouter.example/poplarrouter/internal/relay"
 	"poplarrouter.example/poplarrouter/internal/share"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/internal/view"
@@ -77,8 +79,13 @@
 	shares := share.New(share.Options{
 		Host: s.Host, Queue: s.Limits.Queue, Connections: l.connections, Hosts: l.hosts, Listed: l.listed, Resized: l.resized,
 	})
+	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Homes: l.homes, Deputies: l.deputies, Hosts: l.listedHosts})
+	onStop(lc, closeRelays)
 	p := &ports{
 		protocol: flow.Protocol{Wrap: caller.New},
+		relayed:  relay.Protocol{},
+		relay:    relays,
+		homes:    place.Of,
 		rules:    lineRules(s),
 		everyone: true,
 		hold:     memberHold,
@@ -158,7 +165,25 @@
 // connections returns how many connections a member of a database takes.
 func (l *lines) connections(database string) int { return l.book().Connections(database) }
 
-func (l *lines) hosts() []string { return l.book().LiveHosts() }
+// homes returns the proxies that serve a database, and whether this one does.
+func (l *lines) homes(database string) (hosts []string, here bool) {
+	bases, _ := l.parts()
+	return bases.Homes(database)
+}
+
+func (l *lines) deputies(database string) []string {
+	bases, _ := l.parts()
+	return bases.Deputies(database)
+}
+
+func (l *lines) listedHosts() []book.Host { return l.book().Hosts() }
+
+// hosts returns the proxies that share the connections to a database's members.
+func (l *lines) hosts(database string) []string {
+	bases, _ := l.parts()
+	hosts, _ := bases.Homes(database)
+	return hosts
+}
 
 func (l *lines) listed(m view.Member) bool {
 	bases, _ := l.parts()
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -27,6 +27,11 @@
 // members.
 type ports struct {
 	protocol front.Protocol
+	// relayed serves what other proxies send, and relay sends them what they serve; both
+	// are nil where every proxy serves all databases. homes tells who serves which.
+	relayed front.Protocol
+	relay   chain.Relay
+	homes   func(database string, hosts []book.Host) (homes, deputies []string)
 	// open returns the pool of connections to a member, and control its control.
 	open    func(database string, m view.Member) (*member.Pool, func())
 	control ctrl.Dialer
@@ -149,5 +154,5 @@
 
 // hostOf returns the entry of this proxy in the list of hosts.
 func hostOf(s config.Settings, peerAddress string) book.Host {
-	return book.Host{Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: peerAddress}
+	return book.Host{Name: s.Host, DataCentre: s.DataCentre, Region: s.Region, PeerAddress: peerAddress, Capacity: s.ProcessorShare * s.ProcessorSpeed}
 }
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -91,6 +91,9 @@
 	Region      string
 	PeerAddress string
 	Leaving     bool
+	// Capacity is the processor time that the host may use, in cores, or 0 if it does not
+	// tell.
+	Capacity float64 `json:",omitempty"`
 }
 
 // Book holds the newest documents.
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -15,7 +15,9 @@
 	return func(ctx context.Context, r *Request) error {
 		if r.pinned = r.Lease != nil; r.pinned {
 			// A change of the sheet applies from the next transaction on.
-			r.Work, r.replicated = r.Lease.work, r.Lease.replicated
+			r.Work, r.Replicated = r.Lease.work, r.Lease.replicated
+		}
+		if r.pinned || r.Given {
 			r.Deadline = r.Arrived.Add(r.Work.Deadline)
 			return next(ctx, r)
 		}
@@ -29,7 +31,7 @@
 			return fault.New(fault.Unlisted, "classify", "the sheet lists no kind %q for caller %q on service %q", r.Label, r.Caller.Name, r.Caller.Service)
 		}
 		work.Access = r.Exchange.Access(work.Access)
-		r.Work, r.replicated = work, held.Replicated(work.Database)
+		r.Work, r.Replicated = work, held.Replicated(work.Database)
 		r.Deadline = r.Arrived.Add(work.Deadline)
 		return next(ctx, r)
 	}
@@ -57,14 +59,8 @@
 
 func (f *filters) refuse(r *Request) error {
 	if r.pinned {
-		r.base = r.Lease.base
 		return nil
 	}
-	base, found := f.Bases.Base(r.Work.Database)
-	if !found {
-		return fault.New(fault.NoPrimary, "admit", "the platform lists no database %q", r.Work.Database)
-	}
-	r.base = base
 	if f.Draining() {
 		return fault.New(fault.Leaving, "admit", "this proxy is leaving")
 	}
@@ -74,6 +70,22 @@
 	return nil
 }
 
+// watch finds the watch over the request's database.
+func (f *filters) watch(next Handler) Handler {
+	return func(ctx context.Context, r *Request) error {
+		if r.pinned {
+			r.base = r.Lease.base
+			return next(ctx, r)
+		}
+		base, found := f.Bases.Need(r.Work.Database)
+		if !found {
+			return fault.New(fault.NoPrimary, "admit", "the platform lists no database %q", r.Work.Database)
+		}
+		r.base = base
+		return next(ctx, r)
+	}
+}
+
 // Late returns the fault of a request whose deadline has passed before any of it
 // was sent.
 func Late(op string, r *Request) *fault.Error {
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -44,6 +44,8 @@
 	pool *member.Pool
 	slot Slot
 	base *ctrl.Base
+	// away is the connection to the proxy that holds the lease, or nil if this one does.
+	away Away
 	// work is the sheet's row when the transaction began, and replicated what was known
 	// of its database.
 	work       sheet.Row
@@ -52,6 +54,10 @@
 
 // Release gives the connection back. A connection that is not clean is closed.
 func (l *Lease) Release(clean bool) {
+	if l.away != nil {
+		l.away.Release(clean)
+		return
+	}
 	l.pool.Put(l.Conn, clean)
 	l.slot.Release()
 }
@@ -74,6 +80,9 @@
 	Track func(*Lease)
 	// Arrived is when the request was complete.
 	Arrived time.Time
+	// Given tells that another proxy sent the request, which has looked Work and
+	// Replicated up.
+	Given bool
 
 	// Work is the sheet's row for the request.
 	Work sheet.Row
@@ -91,8 +100,8 @@
 	pinned bool
 	// lead tells that the member must prove that it leads, since no floor is known.
 	lead bool
-	// replicated tells that the database acknowledges only what a replica has received.
-	replicated bool
+	// Replicated tells that the database acknowledges only what a replica has received.
+	Replicated bool
 	targets    []view.Member
 	need       group.Floor
 	member     view.Member
@@ -214,6 +223,9 @@
 	Draining func() bool
 	// Slots rations the members' slots.
 	Slots Slots
+	// Relay sends requests to the proxies that serve their databases; nil stands for a
+	// proxy that serves all.
+	Relay Relay
 }
 
 // Slot is the right to run one request on a member.
@@ -244,7 +256,7 @@
 	}
 	f := &filters{Options: o, resumes: &resumes{suspended: o.Suspended}}
 	h := f.run
-	for _, filter := range []Filter{f.confirm, f.lend, f.route, f.admit, f.classify} {
+	for _, filter := range []Filter{f.confirm, f.lend, f.route, f.watch, f.relay, f.admit, f.classify} {
 		h = filter(h)
 	}
 	return h
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -27,7 +27,7 @@
 	defer r.Track(nil)
 	order := Order{
 		Write: l.MayWrite, Pinned: r.pinned, Floor: r.need, Lead: f.mustLead(r), HeldBytes: f.HeldBytes, Deadline: deadline,
-		Replicated: r.replicated,
+		Replicated: r.Replicated,
 	}
 	asked := time.Now()
 	answer, err := r.Exchange.Run(l.Line, order)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -64,6 +64,10 @@
 	PromoteAddress string
 	// Regions gives the region of each data centre, where the lists of members do not.
 	Regions map[string]string `json:",omitempty"`
+	// ProcessorShare is the share of a core that the host may use, and ProcessorSpeed how
+	// many times as fast as others its cores are; 0 if the host does not tell.
+	ProcessorShare float64 `json:",omitempty"`
+	ProcessorSpeed float64 `json:",omitempty"`
 	// PeerSecret authenticates proxies to one another.
 	PeerSecret string
 	// OperatorSecret authenticates operators' orders.
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -90,6 +90,8 @@
 		return "a list of strings"
 	case reflect.Bool:
 		return "true or false"
+	case reflect.Float64:
+		return "a number"
 	default:
 		return "a whole number"
 	}
@@ -125,6 +127,8 @@
 	c.protocol(s)
 	c.secret("PeerSecret", s.PeerSecret)
 	c.secret("OperatorSecret", s.OperatorSecret)
+	c.share("ProcessorShare", s.ProcessorShare)
+	c.share("ProcessorSpeed", s.ProcessorSpeed)
 	for i, seed := range s.Seeds {
 		c.address(fmt.Sprintf("Seeds.%d", i), seed)
 	}
@@ -174,6 +178,12 @@
 	}
 }
 
+func (c *checker) share(path string, value float64) {
+	if value < 0 {
+		c.fail(path, fmt.Sprint(value), "a number of at least 0")
+	}
+}
+
 func (c *checker) numbers(path string, group reflect.Value) {
 	for i := range group.NumField() {
 		name := group.Type().Field(i).Name
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -31,6 +32,10 @@
 	Hold time.Duration
 	// Hosts is told of each new list of hosts.
 	Hosts func([]book.Host)
+	// Homes returns the hosts that serve a database, and those that do while none of these
+	// can be reached, given the list of hosts. Where it is nil, every proxy serves every
+	// database.
+	Homes func(database string, hosts []book.Host) (homes, deputies []string)
 }
 
 // Bases keeps a Base and the pools of connections for each listed database.
@@ -44,8 +49,20 @@
 	mu    sync.Mutex
 	bases map[string]*served
 	pools map[poolKey]ownedPool
+	// listed are the databases that the platform lists, homes the hosts that serve each
+	// of them, and deputies those that stand in for these.
+	listed   map[string]book.Database
+	homes    map[string][]string
+	deputies map[string][]string
+	// guests are the databases that this proxy serves since it was asked to, though it
+	// is none of their homes, with the time at which it was asked last.
+	guests map[string]time.Time
 }
 
+// guestTime is how long a proxy goes on to watch a database that it does not home
+// after the last request: opening connections anew costs more than a few questions.
+const guestTime = 20 * time.Second
+
 // Watched is a listed database and the watch over it.
 type Watched struct {
 	book.Database
@@ -70,7 +87,7 @@
 
 // NewBases starts the controller and returns it with its clean-up function.
 func NewBases(options BasesOptions) (*Bases, func()) {
-	b := &Bases{options: options, watched: duty.NewCell[[]Watched](nil), bases: make(map[string]*served), pools: make(map[poolKey]ownedPool)}
+	b := &Bases{options: options, watched: duty.NewCell[[]Watched](nil), bases: make(map[string]*served), pools: make(map[poolKey]ownedPool), guests: make(map[string]time.Time)}
 	b.options.Base.Replaced = b.sever
 	b.roster = roster.New(options.Hold)
 	stop := duty.Run(b.follow)
@@ -91,6 +108,63 @@
 	return s.base, true
 }
 
+// Need returns the watch over a listed database, and begins it if this proxy is none of
+// the database's homes.
+func (b *Bases) Need(name string) (*Base, bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	d, listed := b.listed[name]
+	if !listed {
+		return nil, false
+	}
+	if !b.home(name) {
+		b.guests[name] = time.Now()
+	}
+	if _, found := b.bases[name]; !found {
+		b.serve(d)
+		b.options.Base.Log.Emit(event.GuestServed, event.Fields{"Database": name, "Homes": b.homes[name]})
+	}
+	return b.bases[name].base, true
+}
+
+// Homes tells which hosts serve a database, and whether this proxy is one of them. A
+// database that is not listed has none.
+func (b *Bases) Homes(name string) (hosts []string, here bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.homes[name], b.home(name)
+}
+
+// Deputies tells which hosts serve a database while none of its homes can be reached.
+func (b *Bases) Deputies(name string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.deputies[name]
+}
+
+// home tells whether this proxy is one of a database's homes. The lock must be held.
+func (b *Bases) home(name string) bool {
+	return b.options.Homes == nil || slices.Contains(b.homes[name], b.options.Base.Host)
+}
+
+// Partners returns the hosts that serve the databases that this proxy homes.
+func (b *Bases) Partners() []string {
+	if b.options.Homes == nil {
+		return nil
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	var partners []string
+	for name := range b.bases {
+		for _, host := range b.homes[name] {
+			if host != b.options.Base.Host && !slices.Contains(partners, host) {
+				partners = append(partners, host)
+			}
+		}
+	}
+	return partners
+}
+
 // Watched returns the databases that are watched, and a channel that closes when
 // they change.
 func (b *Bases) Watched() ([]Watched, <-chan struct{}) { return b.watched.Watch() }
@@ -179,6 +253,7 @@
 		select {
 		case <-changed:
 		case <-b.due():
+		case <-b.guestsLeave():
 		case <-ctx.Done():
 			return nil
 		}
@@ -194,6 +269,15 @@
 	return time.After(time.Until(due))
 }
 
+// guestsLeave returns a channel that tells when to look for databases that are no
+// longer asked for.
+func (b *Bases) guestsLeave() <-chan time.Time {
+	if b.options.Homes == nil {
+		return nil
+	}
+	return time.After(guestTime / 4)
+}
+
 func (b *Bases) apply(held book.Book) {
 	b.roster = b.roster.With(held.Databases(), time.Now())
 	if held.Serial(book.Hosts) > 0 {
@@ -210,20 +294,17 @@
 func (b *Bases) update(held book.Book) (stops []func()) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	hosts := held.LiveHosts()
+	b.place(held)
 	var watched []Watched
-	listed := make(map[string]bool)
 	for _, d := range b.roster.Databases() {
-		listed[d.Name] = true
-		s, found := b.bases[d.Name]
-		if !found {
-			s = &served{}
-			s.base, s.stop = NewBase(b.options.Base, d.Name, d.Members)
-			b.bases[d.Name] = s
+		if !b.wanted(d.Name, time.Now()) {
+			continue
 		}
-		s.base.SetMembers(d.Members)
-		s.base.SetWatchers(pick.First(d.Name, hosts, maxWatchers))
-		watched = append(watched, Watched{Database: d, Base: s.base})
+		watched = append(watched, Watched{Database: d, Base: b.serve(d)})
+	}
+	listed := make(map[string]bool)
+	for _, w := range watched {
+		listed[w.Name] = true
 	}
 	for name, s := range b.bases {
 		if !listed[name] {
@@ -235,11 +316,55 @@
 	return append(stops, b.dropPools(watched)...)
 }
 
+// place works out the homes of all listed databases. The lock must be held.
+func (b *Bases) place(held book.Book) {
+	b.listed, b.homes, b.deputies = make(map[string]book.Database), make(map[string][]string), make(map[string][]string)
+	hosts := held.LiveHosts()
+	for _, d := range b.roster.Databases() {
+		b.listed[d.Name] = d
+		if b.options.Homes == nil {
+			b.homes[d.Name] = pick.First(d.Name, hosts, maxWatchers)
+			continue
+		}
+		b.homes[d.Name], b.deputies[d.Name] = b.options.Homes(d.Name, held.Hosts())
+	}
+}
+
+// wanted tells whether this proxy is to watch a database. The lock must be held.
+func (b *Bases) wanted(name string, now time.Time) bool {
+	asked, guest := b.guests[name]
+	if guest && now.Sub(asked) > guestTime {
+		delete(b.guests, name)
+		guest = false
+	}
+	return guest || b.home(name)
+}
+
+// serve returns the watch over a database with its members and watchers brought up to
+// date. The lock must be held.
+func (b *Bases) serve(d book.Database) *Base {
+	s, found := b.bases[d.Name]
+	if !found {
+		s = &served{}
+		s.base, s.stop = NewBase(b.options.Base, d.Name, d.Members)
+		b.bases[d.Name] = s
+	}
+	s.base.SetMembers(d.Members)
+	watchers := b.homes[d.Name]
+	if !b.home(d.Name) {
+		// A guest that is asked because no home answers must be able to replace the
+		// primary.
+		watchers = append(slices.Clone(watchers), b.options.Base.Host)
+	}
+	s.base.SetWatchers(watchers)
+	return s.base
+}
+
 // dropPools takes out the pools of members that are no longer listed, and returns
 // what closes them. The connections that they have lent are closed when they are
 // given back. The lock must be held.
 func (b *Bases) dropPools(watched []Watched) (stops []func()) {
-	listed := make(map[poolKey]bool)
+	listed := make(map[poolKey]bool, len(watched))
 	for _, w := range watched {
 		for _, m := range w.Members {
 			listed[poolKey{database: w.Name, member: m.Name, address: m.Address}] = true
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -199,7 +199,7 @@
 		m.living = maps.Clone(m.living)
 		m.living[e.Vote.From] = true
 	}
-	if (m.agreed() || m.deserted(now)) && m.turn(now) {
+	if m.agreed() && m.turn(now, m.place) || m.deserted(now) && m.turn(now, m.livingAhead()) {
 		m.stage, m.since = Claiming, now
 		return m, []Action{{ClaimTerm: &ClaimTerm{After: m.lastTerm(v)}}}
 	}
@@ -249,12 +249,23 @@
 	return m
 }
 
-// turn tells whether it is this watcher's time to claim.
-func (m Machine) turn(now time.Time) bool {
+// turn tells whether it is this watcher's time to claim, if so many others come before it.
+func (m Machine) turn(now time.Time, ahead int) bool {
 	if now.Before(m.rest) {
 		return false
 	}
-	return now.Sub(m.since) >= time.Duration(m.place)*m.rules.Stagger
+	return now.Sub(m.since) >= time.Duration(ahead)*m.rules.Stagger
+}
+
+// livingAhead returns how many watchers that answer come before this one.
+func (m Machine) livingAhead() int {
+	ahead := 0
+	for _, w := range m.watchers[:m.place] {
+		if m.living[w] {
+			ahead++
+		}
+	}
+	return ahead
 }
 
 // repair makes members that stayed in an earlier term follow the primary. The
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -50,6 +50,9 @@
 	PeerJoined       Event = 701
 	PeerLeft         Event = 702
 	PeerDenied       Event = 703
+	GuestServed      Event = 704
+	RelayLost        Event = 705
+	RelayChosen      Event = 307
 	InvariantBroken  Event = 901
 )
 
@@ -97,6 +100,9 @@
 	PeerJoined:       {"peer-joined", logrus.InfoLevel},
 	PeerLeft:         {"peer-left", logrus.WarnLevel},
 	PeerDenied:       {"peer-denied", logrus.WarnLevel},
+	RelayChosen:      {"relay-chosen", logrus.InfoLevel},
+	GuestServed:      {"guest-served", logrus.InfoLevel},
+	RelayLost:        {"relay-lost", logrus.WarnLevel},
 	InvariantBroken:  {"invariant-broken", logrus.ErrorLevel},
 }
 
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -26,6 +26,9 @@
 // Session returns the session behind the statement.
 func (x *Exchange) Session() stmt.Session { return x.session }
 
+// Idle tells whether no transaction is open behind the statement.
+func (x *Exchange) Idle() bool { return x.session.Phase == stmt.Idle }
+
 // Reply returns the answer.
 func (x *Exchange) Reply() Reply { return x.reply }
 
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -38,6 +38,8 @@
 type Options struct {
 	Address  string
 	Protocol Protocol
+	// Relayed serves the requests that other proxies send, or is nil if none do.
+	Relayed Protocol
 	// Connections bounds the callers connected at a time. Half as many again may
 	// be at their start-up message, of whom no rank is known.
 	Connections int
@@ -147,6 +149,23 @@
 	return err
 }
 
+// ServeRelay serves the requests that another proxy sends over a connection, until the
+// connection ends. It is let in while the proxy leaves, too, since each request is
+// answered whether it runs or not.
+func (f *Front) ServeRelay(ctx context.Context, conn net.Conn, host string) error {
+	f.mu.Lock()
+	f.nextID++
+	s := newSession(f, conn, f.nextID)
+	s.relayed = true
+	s.Caller.Name = host
+	f.sessions[s.Caller.ID] = s
+	f.mu.Unlock()
+	defer f.forget(s)
+	err := f.options.Relayed.Serve(ctx, s)
+	s.Rollback()
+	return err
+}
+
 // refuse tells a caller that is not let in.
 func (f *Front) refuse(conn net.Conn, err *fault.Error) { f.options.Protocol.Refuse(conn, err) }
 
@@ -215,14 +234,19 @@
 	f.draining.Store(true)
 	_ = f.listener.Close()
 	for {
-		sessions := f.list()
-		for _, s := range sessions {
+		left := 0
+		for _, s := range f.list() {
+			if s.relayed && !s.busy() {
+				// It stays open, so that the other proxy is told what does not run.
+				continue
+			}
+			left++
 			s.endIfIdle()
 			if time.Since(began) > f.options.Open {
 				s.endIfWaiting()
 			}
 		}
-		if len(sessions) == 0 {
+		if left == 0 {
 			return 0
 		}
 		select {
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -28,6 +28,8 @@
 	Caller chain.Caller
 
 	front *Front
+	// relayed tells that another proxy sends requests over the connection.
+	relayed bool
 	// rank is that of the place that the connection has taken, or 0.
 	rank sheet.Rank
 
@@ -168,7 +170,7 @@
 func (s *Session) endIfIdle() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.active || s.lease != nil || s.ending {
+	if s.active || s.lease != nil || s.ending || s.relayed {
 		return
 	}
 	s.ending = true
@@ -187,6 +189,9 @@
 	_ = s.SetReadDeadline(time.Now())
 }
 
+// Leaving tells whether the proxy is about to leave.
+func (s *Session) Leaving() bool { return s.front.Leaving() }
+
 // Ending tells whether the wait for requests was ended.
 func (s *Session) Ending() bool {
 	s.mu.Lock()
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -192,8 +192,50 @@
 	}
 	deaf := deafBeats*m.options.Beat + m.options.Timeout
 	conn = m.options.Meter.Wrap(conn, meter.Peer, m.regionOf(host))
+	first, err := m.firstFrame(conn, deaf)
+	if err != nil {
+		return err
+	}
+	if first.Relay {
+		return m.handler.ServeRelay(ctx, conn, host)
+	}
 	defer m.handler.TakeLoss(host)
-	return m.converse(ctx, conn, host, duty.NewRing[Frame](sendRing), deaf)
+	answers := duty.NewRing[Frame](sendRing)
+	m.hear(host)
+	m.take(host, first, answers)
+	return m.converse(ctx, conn, host, answers, deaf)
+}
+
+// firstFrame reads the frame that tells what a connection is for.
+func (m *Mesh) firstFrame(conn net.Conn, timeout time.Duration) (Frame, error) {
+	if err := conn.SetReadDeadline(time.Now().Add(timeout)); err != nil {
+		return Frame{}, err
+	}
+	f, err := Decode(conn, MaxFrame)
+	if err != nil {
+		return Frame{}, err
+	}
+	return f, conn.SetReadDeadline(time.Time{})
+}
+
+// Dial opens a connection to a peer that is handed over to callers' requests.
+func (m *Mesh) Dial(ctx context.Context, h book.Host) (net.Conn, error) {
+	d := net.Dialer{Timeout: m.options.Timeout}
+	conn, err := d.DialContext(ctx, "tcp", h.PeerAddress)
+	if err != nil {
+		return nil, err
+	}
+	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
+	if _, err = m.greet(conn); err == nil {
+		err = m.writeFrame(conn, Frame{Relay: true})
+	}
+	if err == nil {
+		err = conn.SetDeadline(time.Time{})
+	}
+	if err != nil {
+		return nil, errors.CombineErrors(err, conn.Close())
+	}
+	return conn, nil
 }
 
 func (m *Mesh) regionOf(host string) string {
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -11,6 +11,7 @@
 package peer
 
 import (
+	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -51,6 +52,9 @@
 	Done    *Done          `msgpack:",omitempty"`
 	Doubt   *Doubt         `msgpack:",omitempty"`
 	Opinion *Opinion       `msgpack:",omitempty"`
+	// Relay hands the connection over to callers' requests for databases that the
+	// accepting proxy serves. It is the first frame of such a connection.
+	Relay bool `msgpack:",omitempty"`
 }
 
 // Want asks a dispatcher for a slot of a member.
@@ -182,11 +186,21 @@
 const lengthBytes = 4
 
 // Encode returns the frame as it goes over the wire.
-func Encode(f Frame) ([]byte, error) {
-	body, err := msgpack.Marshal(f)
-	if err != nil {
+func Encode(f Frame) ([]byte, error) { return pack(f, false) }
+
+// EncodeArray returns a value of a connection that was handed over, with its length
+// before it. Structures go as arrays, without the names of their fields.
+func EncodeArray(value any) ([]byte, error) { return pack(value, true) }
+
+func pack(value any, arrays bool) ([]byte, error) {
+	var buffer bytes.Buffer
+	encoder := msgpack.NewEncoder(&buffer)
+	encoder.UseArrayEncodedStructs(arrays)
+	encoder.UseCompactInts(arrays)
+	if err := encoder.Encode(value); err != nil {
 		return nil, err
 	}
+	body := buffer.Bytes()
 	if len(body) > MaxFrame {
 		return nil, &FrameError{Got: fmt.Sprintf("%d bytes", len(body)), Want: fmt.Sprintf("at most %d", MaxFrame)}
 	}
@@ -197,21 +211,27 @@
 
 // Decode reads one frame of at most limit bytes.
 func Decode(r io.Reader, limit uint32) (Frame, error) {
+	var f Frame
+	err := DecodeInto(r, limit, &f)
+	return f, err
+}
+
+// DecodeInto reads a value of at most limit bytes with its length before it.
+func DecodeInto(r io.Reader, limit uint32, into any) error {
 	var head [lengthBytes]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return Frame{}, err
+		return err
 	}
 	size := binary.BigEndian.Uint32(head[:])
 	if size == 0 || size > limit {
-		return Frame{}, &FrameError{Got: fmt.Sprintf("%d bytes", size), Want: fmt.Sprintf("1 to %d", limit)}
+		return &FrameError{Got: fmt.Sprintf("%d bytes", size), Want: fmt.Sprintf("1 to %d", limit)}
 	}
 	body := make([]byte, size)
 	if _, err := io.ReadFull(r, body); err != nil {
-		return Frame{}, err
+		return err
 	}
-	var f Frame
-	if err := msgpack.Unmarshal(body, &f); err != nil {
-		return Frame{}, &FrameError{Got: err.Error(), Want: "a msgpack map"}
+	if err := msgpack.Unmarshal(body, into); err != nil {
+		return &FrameError{Got: err.Error(), Want: "a msgpack value"}
 	}
-	return f, nil
+	return nil
 }
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -42,6 +42,12 @@
 	TakeOpinion(host string, o Opinion)
 	// TakeLoss is told that a connection that a peer had opened has ended.
 	TakeLoss(host string)
+	// ServeRelay serves the callers' requests that a peer sends over a connection, until
+	// the connection ends.
+	ServeRelay(ctx context.Context, conn net.Conn, host string) error
+	// Partners returns the peers that serve the same databases as this proxy, to which
+	// heartbeats go besides.
+	Partners() []string
 	// Cancel cancels the request of a caller of this proxy, if it is one.
 	Cancel(processID uint32, secretKey []byte)
 }
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"sync"
@@ -52,6 +53,9 @@
 
 func (k *keeper) Judge(string, group.Term) bool { return true }
 func (k *keeper) Cancel(uint32, []byte)         {}
+func (k *keeper) Partners() []string            { return nil }
+
+func (k *keeper) ServeRelay(context.Context, net.Conn, string) error { return nil }
 
 func (k *keeper) TakeWant(string, peer.Want, func(peer.Grant)) {}
 func (k *keeper) TakeGrant(string, peer.Grant)                 {}
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -72,7 +72,7 @@
 			return nil
 		}
 		f := m.heartbeat()
-		for _, host := range m.Neighbours() {
+		for _, host := range m.beaten() {
 			m.Send(host, f)
 		}
 		for _, address := range m.seeds() {
@@ -81,6 +81,14 @@
 	}
 }
 
+// beaten returns the peers that get heartbeats: the neighbours, and those that serve the
+// same databases.
+func (m *Mesh) beaten() []string {
+	list := append(m.Neighbours(), m.handler.Partners()...)
+	slices.Sort(list)
+	return slices.Compact(list)
+}
+
 func (m *Mesh) heartbeat() Frame {
 	beat := BeatOf(m.handler.Book())
 	return Frame{Beat: &beat, Wants: m.handler.Wants()}
--- /dev/null
+++ b/internal/relay/order_test.go
@@ -0,0 +1,62 @@
+package relay_test
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/relay"
+)
+
+var noon = time.Date(2026, 1, 1, 12, 0, 0, 0, time.UTC)
+
+func candidates() []relay.Candidate {
+	return []relay.Candidate{
+		{Host: "n1", Region: "north"}, {Host: "n2", Region: "north"}, {Host: "s1", Region: "south"}, {Host: "s2", Region: "south"},
+	}
+}
+
+func TestRequestsStayInTheRegionAndTakeTurns(t *testing.T) {
+	g := NewWithT(t)
+	g.Expect(relay.Order(candidates(), "north", 0, noon)).To(Equal([]string{"n1", "n2", "s1", "s2"}))
+	g.Expect(relay.Order(candidates(), "north", 1, noon)).To(Equal([]string{"n2", "n1", "s1", "s2"}))
+	g.Expect(relay.Order(candidates(), "south", 0, noon)).To(Equal([]string{"s1", "s2", "n1", "n2"}))
+	g.Expect(relay.Order(nil, "south", 3, noon)).To(BeEmpty())
+}
+
+// TestABurstGoesToTheHostWithTheFewestOpenJobs is a burst at one entry host.
+func TestABurstGoesToTheHostWithTheFewestOpenJobs(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates()
+	list[0].Open, list[0].Oldest = 7, noon.Add(-time.Millisecond)
+	list[1].Open, list[1].Oldest = 3, noon.Add(-time.Millisecond)
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "n1", "s1", "s2"}))
+}
+
+// TestAFrozenHostGetsNoMoreRequests is a home that is suspended: its connections stay
+// open, and nothing is answered on them.
+func TestAFrozenHostGetsNoMoreRequests(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates()
+	list[0].Open, list[0].Oldest = 1, noon.Add(-time.Second)
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "s1", "s2", "n1"}))
+}
+
+// TestDeputiesServeWhileNoHomeCanBeReached is the loss of all homes of a database.
+func TestDeputiesServeWhileNoHomeCanBeReached(t *testing.T) {
+	g := NewWithT(t)
+	list := []relay.Candidate{candidates()[1], candidates()[2], {Host: "d", Region: "north", Deputy: true}}
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "s1", "d"}))
+	list[0].Shunned, list[1].Shunned = noon.Add(time.Second), noon.Add(time.Second)
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"d", "n2", "s1"}))
+}
+
+// TestAHostThatCannotBeReachedIsTriedLast is a home that was killed.
+func TestAHostThatCannotBeReachedIsTriedLast(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates()
+	list[0].Shunned = noon.Add(time.Second)
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "s1", "s2", "n1"}))
+	g.Expect(relay.Order(list, "north", 0, noon.Add(time.Second))[0]).To(Equal("n1"))
+}
--- /dev/null
+++ b/internal/relay/serve.go
@@ -0,0 +1,67 @@
+package relay
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/pkg/fault"
+)
+
+// Protocol serves the requests that another proxy sends over a connection.
+type Protocol struct{}
+
+var _ front.Protocol = Protocol{}
+
+// Refuse implements front.Protocol. The other proxy learns from the end of the
+// connection.
+func (Protocol) Refuse(net.Conn, *fault.Error) {}
+
+// Serve implements front.Protocol.
+func (Protocol) Serve(ctx context.Context, s *front.Session) error {
+	for {
+		var job Job
+		if err := peer.DecodeInto(s, maxBytes, &job); err != nil {
+			return err
+		}
+		outcome := run(ctx, s, job)
+		outcome.Number = job.Number
+		raw, err := peer.EncodeArray(outcome)
+		if err != nil {
+			return err
+		}
+		if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return err
+		}
+		if _, err := s.Write(raw); err != nil {
+			return err
+		}
+	}
+}
+
+// writeTimeout is how long a proxy may take to receive what another one sends it, as
+// long as peers may take for a frame.
+const writeTimeout = 500 * time.Millisecond
+
+// run runs a job through the chain.
+func run(ctx context.Context, s *front.Session, job Job) Outcome {
+	if !s.Begin() {
+		return Outcome{Failed: true, Fault: fault.Leaving, Text: "this proxy is leaving", Leaving: true}
+	}
+	defer s.End()
+	s.Caller.Service, s.Caller.Name = job.Service, job.Caller
+	x := job.Parcel.Exchange()
+	r := &chain.Request{
+		Name: job.Request, Exchange: x, Floor: job.Floor, Arrived: time.Now().Add(-job.Waited),
+		Given: true, Work: job.Work, Replicated: job.Replicated,
+	}
+	if err := s.Do(ctx, r); err != nil {
+		// Whatever is open at a member ends with its connection.
+		s.Rollback()
+		return Outcome{Failed: true, Fault: err.Kind, Text: err.Message(), Leaving: s.Leaving()}
+	}
+	return Outcome{Reply: x.Reply(), Kept: r.Answer.Kept, Leaving: s.Leaving()}
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -32,7 +32,7 @@
 	// proxies together.
 	Connections func(database string) int
 	// Hosts returns the proxies that share them.
-	Hosts func() []string
+	Hosts func(database string) []string
 	// Listed tells whether a member is still one of its database.
 	Listed func(m view.Member) bool
 	// Resized is told of the share of a member, unless it is nil.
@@ -101,7 +101,7 @@
 
 // resize brings a gate to its present share. The lock must be held.
 func (s *Shares) resize(database string, g *sized, now time.Time) {
-	hosts := s.options.Hosts()
+	hosts := s.options.Hosts(database)
 	total := s.options.Connections(database) - reserve
 	size := Level(total, s.options.Host, s.wants.of(g.member.Name, s.options.Host, hosts, total/max(len(hosts), 1), now))
 	if size == g.size {
