--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -77,7 +77,7 @@
 	onStop(lc, closePromoter)
 	onStop(lc, ctrl.Enrol(st, log, hostOf(s, mesh.Address()), storeRetry))
 	shares := share.New(share.Options{
-		Host: s.Host, Queue: s.Limits.Queue, Connections: l.connections, Hosts: l.hosts, Listed: l.listed, Resized: l.resized,
+		Host: s.Host, Queue: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, Resized: l.resized,
 	})
 	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Homes: l.homes, Deputies: l.deputies, Hosts: l.listedHosts})
 	onStop(lc, closeRelays)
@@ -170,6 +170,13 @@
 // connections returns how many connections a member of a database takes.
 func (l *lines) connections(database string) int { return l.book().Connections(database) }
 
+// slots returns how many statements a member of a database runs at a time, or 0 if the
+// database is not listed.
+func (l *lines) slots(database string) int {
+	d, _ := l.book().Database(database)
+	return d.Slots
+}
+
 // homes returns the proxies that serve a database, and whether this one does.
 func (l *lines) homes(database string) (hosts []string, here bool) {
 	bases, _ := l.parts()
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -43,7 +43,9 @@
 
 	pool *member.Pool
 	slot Slot
-	base *ctrl.Base
+	// resting tells that no statement of the open transaction runs.
+	resting bool
+	base    *ctrl.Base
 	// away is the connection to the proxy that holds the lease, or nil if this one does.
 	away Away
 	// work is the sheet's row when the transaction began, and replicated what was known
@@ -58,6 +60,7 @@
 		l.away.Release(clean)
 		return
 	}
+	l.rest(false)
 	l.pool.Put(l.Conn, clean)
 	l.slot.Release()
 }
@@ -234,6 +237,18 @@
 	Until time.Time
 	// Release gives the slot back. It must be called once.
 	Release func()
+	// Rest tells whether the transaction that holds the slot rests between two
+	// statements, and Crowded that the member had no room for the work. Both may be nil.
+	Rest    func(resting bool)
+	Crowded func()
+}
+
+// rest notes that the lease's transaction begins or ceases to rest between two statements.
+func (l *Lease) rest(resting bool) {
+	if l.slot.Rest != nil && l.resting != resting {
+		l.slot.Rest(resting)
+		l.resting = resting
+	}
 }
 
 // Lapsed tells whether the slot may no longer be used to begin work.
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -23,6 +23,7 @@
 		return err
 	}
 	r.sends++
+	l.rest(false)
 	r.Track(l)
 	defer r.Track(nil)
 	order := Order{
@@ -37,6 +38,9 @@
 		return err
 	}
 	if answer.Turned != nil {
+		if answer.Turned.Kind == fault.Overloaded && l.slot.Crowded != nil {
+			l.slot.Crowded()
+		}
 		f.drop(r, !answer.Dirty)
 		r.sends--
 		return answer.Turned
@@ -84,6 +88,8 @@
 	r.Committed = answer.Committed
 	if answer.Idle {
 		f.drop(r, !answer.Dirty)
+	} else {
+		l.rest(true)
 	}
 	if answer.Refused {
 		// The member executed nothing, so that the work may be sent again.
--- a/internal/share/level.go
+++ b/internal/share/level.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 )
@@ -8,21 +9,34 @@
 // Level returns how much of a total one proxy may use, given how much each proxy wants.
 // It is the max-min fair share: a proxy that wants little gets it, and those that want
 // more share the rest alike. What nobody wants is spread over all, so that a proxy that
-// suddenly wants more has it at hand. Every proxy gets at least 1.
+// suddenly wants more has it at hand. What cannot be shared alike goes to those that come
+// first by name. Every proxy gets at least 1.
 func Level(total int, self string, wants map[string]int) int {
-	left, hosts := total, len(wants)
-	mine := wants[self]
-	order := slices.SortedFunc(maps.Keys(wants), func(a, b string) int { return wants[a] - wants[b] })
+	order := slices.SortedFunc(maps.Keys(wants), func(a, b string) int {
+		return cmp.Or(cmp.Compare(wants[a], wants[b]), cmp.Compare(a, b))
+	})
+	left := total
 	for i, host := range order {
-		fair := left / (hosts - i)
-		if wants[host] > fair {
+		alike := order[i:]
+		if fair := left / len(alike); wants[host] > fair {
 			// From here on all want more than an equal share of what is left.
-			if mine > fair {
-				return max(fair, 1)
-			}
-			return max(mine, 1)
+			return max(part(left, self, alike, wants[self]), 1)
 		}
 		left -= wants[host]
 	}
-	return max(mine+left/max(hosts, 1), 1)
+	return max(wants[self]+part(left, self, order, 0), 1)
+}
+
+// part returns a proxy's part of what is shared alike, or what it has if it is not one of
+// those that share.
+func part(total int, self string, hosts []string, has int) int {
+	place := slices.Index(slices.Sorted(slices.Values(hosts)), self)
+	if place < 0 {
+		return has
+	}
+	fair, rest := total/len(hosts), total%len(hosts)
+	if place < rest {
+		fair++
+	}
+	return fair
 }
