Homes that are cut off send requests on; idle transactions end; shares of silent hosts serve others

Changes: a home that fails is tried with one request at a time, after a pause that doubles; the opening of a connection counts as an open job. A home that reaches no member, or not the primary that a read needs, says at once that another one should be asked (once for each request). A host that was silent for three heartbeats wants nothing. A transaction that rests for longer than the platform's limit is rolled back, and its caller is told with its next statement.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -52,6 +52,9 @@
 	// Connections is how many connections each member of a database takes, where
 	// the platform tells that with the sheet.
 	Connections map[string]int `json:",omitempty"`
+	// TransactionIdle is how long an open transaction may rest between two statements, or 0
+	// for as long as its caller likes.
+	TransactionIdle time.Duration `json:",omitempty"`
 	// Replicated tells which databases acknowledge a write only once a replica has
 	// received it.
 	Replicated map[string]bool `json:",omitempty"`
--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -82,10 +83,27 @@
 			return fault.New(fault.NoPrimary, "admit", "the platform lists no database %q", r.Work.Database)
 		}
 		r.base = base
+		if r.Given && !r.Last && outOfSight(base.View(), r) {
+			return fault.New(fault.Undispatched, "admit", "this proxy does not reach the members of database %q", r.Work.Database)
+		}
 		return next(ctx, r)
 	}
 }
 
+// outOfSight tells whether another proxy may serve a request that this one cannot: no
+// member answers it, or the primary does not, and nothing else proves what a read must see.
+func outOfSight(v view.View, r *Request) bool {
+	if v.Blind() {
+		return true
+	}
+	primary, found := v.Primary()
+	if r.Write() || r.Work.AcceptedAge == 0 || !found || !v.Silent(primary.Member) {
+		return false
+	}
+	_, proven := v.Aged(time.Now().Add(-r.Work.AcceptedAge))
+	return !proven
+}
+
 // Late returns the fault of a request whose deadline has passed before any of it
 // was sent.
 func Late(op string, r *Request) *fault.Error {
--- a/internal/chain/export_test.go
+++ b/internal/chain/export_test.go
@@ -13,3 +13,6 @@
 	r.Lease = &Lease{Conn: conn, Member: view.Member{Name: "m"}, MayWrite: true, pool: pool, slot: slot}
 	return (&filters{Options: o}).run(ctx, r)
 }
+
+// OutOfSight is exported for tests.
+var OutOfSight = outOfSight
--- a/internal/chain/relay.go
+++ b/internal/chain/relay.go
@@ -37,14 +37,19 @@
 		if r.pinned || r.Given || f.Relay == nil {
 			return next(ctx, r)
 		}
-		err := error(nil)
-		for _, host := range f.Relay.Route(r.Work.Database, r.Caller.ID) {
+		hosts := f.Relay.Route(r.Work.Database, r.Caller.ID)
+		hosts = hosts[:min(len(hosts), relayTries)]
+		var err error
+		answered := false
+		for i, host := range hosts {
 			if time.Now().After(r.Deadline) {
-				break
+				return honest(r, Late("relay", r))
 			}
 			var away Away
 			if away, err = f.Relay.Open(ctx, host); err == nil {
 				f.Log.Emit(event.RelayChosen, f.relayed(r, host))
+				r.Last = answered || i == len(hosts)-1
+				answered = true
 				err = f.runAway(ctx, r, away)
 			}
 			if err == nil || !elsewhere(r, err) {
@@ -56,13 +61,14 @@
 		if time.Now().After(r.Deadline) {
 			return honest(r, Late("relay", r))
 		}
-		if r.sends > 0 && err != nil {
-			return honest(r, err)
-		}
-		return next(ctx, r)
+		return honest(r, next(ctx, r))
 	}
 }
 
+// relayTries is how many proxies are tried for a request before this one serves it. When
+// that many cannot, it is this one that is cut off, or the database has lost its homes.
+const relayTries = 4
+
 // elsewhere tells whether a request that failed at one proxy may go to another one: what
 // did not run there for no reason of its database, and reads that got no answer.
 func elsewhere(r *Request, err error) bool {
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -12,48 +12,49 @@
 // The events. The hundreds group them: 1 process, 2 callers, 3 routing,
 // 4 members, 5 failover, 6 sheets, 7 peers, 9 invariants.
 const (
-	Started          Event = 101
-	Stopping         Event = 102
-	Stopped          Event = 103
-	StoreFailed      Event = 104
-	HostEnrolled     Event = 105
-	SettingsReloaded Event = 106
-	CallerAccepted   Event = 201
-	CallerDenied     Event = 202
-	CallerClosed     Event = 203
-	CancelSent       Event = 204
-	ReadRouted       Event = 301
-	WriteRouted      Event = 302
-	WorkRefused      Event = 303
-	WriteConfirmed   Event = 304
-	OutcomeUnknown   Event = 305
-	MemberReached    Event = 401
-	MemberLost       Event = 402
-	ConnectionClosed Event = 403
-	MemberFollows    Event = 404
-	PrimaryChanged   Event = 405
-	WorkSevered      Event = 406
-	Suspected        Event = 501
-	SuspicionEnded   Event = 502
-	ClaimWon         Event = 503
-	ClaimLost        Event = 504
-	FenceAnswered    Event = 505
-	Promoted         Event = 506
-	PromotionFailed  Event = 507
-	DispatchBegun    Event = 508
-	DispatchEnded    Event = 509
-	DispatchEvicted  Event = 510
-	ElectionStep     Event = 511
-	SheetInForce     Event = 601
-	SheetRefused     Event = 602
-	DatabasesChanged Event = 603
-	PeerJoined       Event = 701
-	PeerLeft         Event = 702
-	PeerDenied       Event = 703
-	GuestServed      Event = 704
-	RelayLost        Event = 705
-	RelayChosen      Event = 307
-	InvariantBroken  Event = 901
+	Started            Event = 101
+	Stopping           Event = 102
+	Stopped            Event = 103
+	StoreFailed        Event = 104
+	HostEnrolled       Event = 105
+	SettingsReloaded   Event = 106
+	CallerAccepted     Event = 201
+	CallerDenied       Event = 202
+	CallerClosed       Event = 203
+	CancelSent         Event = 204
+	TransactionExpired Event = 205
+	ReadRouted         Event = 301
+	WriteRouted        Event = 302
+	WorkRefused        Event = 303
+	WriteConfirmed     Event = 304
+	OutcomeUnknown     Event = 305
+	MemberReached      Event = 401
+	MemberLost         Event = 402
+	ConnectionClosed   Event = 403
+	MemberFollows      Event = 404
+	PrimaryChanged     Event = 405
+	WorkSevered        Event = 406
+	Suspected          Event = 501
+	SuspicionEnded     Event = 502
+	ClaimWon           Event = 503
+	ClaimLost          Event = 504
+	FenceAnswered      Event = 505
+	Promoted           Event = 506
+	PromotionFailed    Event = 507
+	DispatchBegun      Event = 508
+	DispatchEnded      Event = 509
+	DispatchEvicted    Event = 510
+	ElectionStep       Event = 511
+	SheetInForce       Event = 601
+	SheetRefused       Event = 602
+	DatabasesChanged   Event = 603
+	PeerJoined         Event = 701
+	PeerLeft           Event = 702
+	PeerDenied         Event = 703
+	GuestServed        Event = 704
+	RelayLost          Event = 705
+	RelayChosen        Event = 307
+	InvariantBroken    Event = 901
 )
 
 type entry struct {
@@ -62,48 +63,49 @@
 }
 
 var entries = map[Event]entry{
-	Started:          {"started", logrus.InfoLevel},
-	Stopping:         {"stopping", logrus.InfoLevel},
-	Stopped:          {"stopped", logrus.InfoLevel},
-	StoreFailed:      {"store-failed", logrus.WarnLevel},
-	HostEnrolled:     {"host-enrolled", logrus.InfoLevel},
-	SettingsReloaded: {"settings-reloaded", logrus.InfoLevel},
-	CallerAccepted:   {"caller-accepted", logrus.InfoLevel},
-	CallerDenied:     {"caller-denied", logrus.WarnLevel},
-	CallerClosed:     {"caller-closed", logrus.InfoLevel},
-	CancelSent:       {"cancel-sent", logrus.InfoLevel},
-	ReadRouted:       {"read-routed", logrus.InfoLevel},
-	WriteRouted:      {"write-routed", logrus.InfoLevel},
-	WorkRefused:      {"work-refused", logrus.WarnLevel},
-	WriteConfirmed:   {"write-confirmed", logrus.InfoLevel},
-	OutcomeUnknown:   {"outcome-unknown", logrus.ErrorLevel},
-	MemberReached:    {"member-reached", logrus.InfoLevel},
-	MemberLost:       {"member-lost", logrus.WarnLevel},
-	ConnectionClosed: {"connection-closed", logrus.InfoLevel},
-	MemberFollows:    {"member-follows", logrus.InfoLevel},
-	PrimaryChanged:   {"primary-changed", logrus.WarnLevel},
-	WorkSevered:      {"work-severed", logrus.WarnLevel},
-	Suspected:        {"suspected", logrus.WarnLevel},
-	SuspicionEnded:   {"suspicion-ended", logrus.InfoLevel},
-	ClaimWon:         {"claim-won", logrus.WarnLevel},
-	ClaimLost:        {"claim-lost", logrus.InfoLevel},
-	FenceAnswered:    {"fence-answered", logrus.WarnLevel},
-	Promoted:         {"promoted", logrus.WarnLevel},
-	PromotionFailed:  {"promotion-failed", logrus.ErrorLevel},
-	DispatchBegun:    {"dispatch-begun", logrus.InfoLevel},
-	DispatchEnded:    {"dispatch-ended", logrus.WarnLevel},
-	DispatchEvicted:  {"dispatch-evicted", logrus.WarnLevel},
-	ElectionStep:     {"election-step", logrus.InfoLevel},
-	SheetInForce:     {"sheet-in-force", logrus.InfoLevel},
-	SheetRefused:     {"sheet-refused", logrus.ErrorLevel},
-	DatabasesChanged: {"databases-changed", logrus.InfoLevel},
-	PeerJoined:       {"peer-joined", logrus.InfoLevel},
-	PeerLeft:         {"peer-left", logrus.WarnLevel},
-	PeerDenied:       {"peer-denied", logrus.WarnLevel},
-	RelayChosen:      {"relay-chosen", logrus.InfoLevel},
-	GuestServed:      {"guest-served", logrus.InfoLevel},
-	RelayLost:        {"relay-lost", logrus.WarnLevel},
-	InvariantBroken:  {"invariant-broken", logrus.ErrorLevel},
+	Started:            {"started", logrus.InfoLevel},
+	Stopping:           {"stopping", logrus.InfoLevel},
+	Stopped:            {"stopped", logrus.InfoLevel},
+	StoreFailed:        {"store-failed", logrus.WarnLevel},
+	HostEnrolled:       {"host-enrolled", logrus.InfoLevel},
+	SettingsReloaded:   {"settings-reloaded", logrus.InfoLevel},
+	CallerAccepted:     {"caller-accepted", logrus.InfoLevel},
+	CallerDenied:       {"caller-denied", logrus.WarnLevel},
+	CallerClosed:       {"caller-closed", logrus.InfoLevel},
+	CancelSent:         {"cancel-sent", logrus.InfoLevel},
+	TransactionExpired: {"transaction-expired", logrus.InfoLevel},
+	ReadRouted:         {"read-routed", logrus.InfoLevel},
+	WriteRouted:        {"write-routed", logrus.InfoLevel},
+	WorkRefused:        {"work-refused", logrus.WarnLevel},
+	WriteConfirmed:     {"write-confirmed", logrus.InfoLevel},
+	OutcomeUnknown:     {"outcome-unknown", logrus.ErrorLevel},
+	MemberReached:      {"member-reached", logrus.InfoLevel},
+	MemberLost:         {"member-lost", logrus.WarnLevel},
+	ConnectionClosed:   {"connection-closed", logrus.InfoLevel},
+	MemberFollows:      {"member-follows", logrus.InfoLevel},
+	PrimaryChanged:     {"primary-changed", logrus.WarnLevel},
+	WorkSevered:        {"work-severed", logrus.WarnLevel},
+	Suspected:          {"suspected", logrus.WarnLevel},
+	SuspicionEnded:     {"suspicion-ended", logrus.InfoLevel},
+	ClaimWon:           {"claim-won", logrus.WarnLevel},
+	ClaimLost:          {"claim-lost", logrus.InfoLevel},
+	FenceAnswered:      {"fence-answered", logrus.WarnLevel},
+	Promoted:           {"promoted", logrus.WarnLevel},
+	PromotionFailed:    {"promotion-failed", logrus.ErrorLevel},
+	DispatchBegun:      {"dispatch-begun", logrus.InfoLevel},
+	DispatchEnded:      {"dispatch-ended", logrus.WarnLevel},
+	DispatchEvicted:    {"dispatch-evicted", logrus.WarnLevel},
+	ElectionStep:       {"election-step", logrus.InfoLevel},
+	SheetInForce:       {"sheet-in-force", logrus.InfoLevel},
+	SheetRefused:       {"sheet-refused", logrus.ErrorLevel},
+	DatabasesChanged:   {"databases-changed", logrus.InfoLevel},
+	PeerJoined:         {"peer-joined", logrus.InfoLevel},
+	PeerLeft:           {"peer-left", logrus.WarnLevel},
+	PeerDenied:         {"peer-denied", logrus.WarnLevel},
+	RelayChosen:        {"relay-chosen", logrus.InfoLevel},
+	GuestServed:        {"guest-served", logrus.InfoLevel},
+	RelayLost:          {"relay-lost", logrus.WarnLevel},
+	InvariantBroken:    {"invariant-broken", logrus.ErrorLevel},
 }
 
 // All returns every event in the order of the numbers.
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -139,6 +139,8 @@
 	Accept() error
 	// Deny tells the caller that it is not.
 	Deny(r Refusal, text string) error
+	// Await waits until the first byte of the next query has come.
+	Await() error
 	// Next reads the next query. It returns io.EOF when the caller ends the
 	// session, and a Protocol fault for a message that cannot be read.
 	Next() (Query, error)
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"os"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -40,6 +41,9 @@
 	}
 	s.Greeted("")
 	for {
+		if err := s.await(); err != nil {
+			return err
+		}
 		q, err := s.caller.Next()
 		if err != nil {
 			return s.broken(err)
@@ -55,6 +59,27 @@
 	caller Caller
 	state  stmt.Session
 	floor  group.Floor
+	// expired tells that the transaction was rolled back for its rest, which its caller
+	// has not been told yet.
+	expired bool
+}
+
+// await waits for the next query. A transaction that rests for longer than the sheet
+// allows is rolled back, so that its connection serves others.
+func (s *session) await() error {
+	limit := s.Options().Books.Book().Loaded().TransactionIdle
+	if limit == 0 || !s.Pinned() {
+		return s.caller.Await()
+	}
+	s.WaitUntil(time.Now().Add(limit))
+	err := s.caller.Await()
+	if !s.WaitUntil(time.Time{}) || !errors.Is(err, os.ErrDeadlineExceeded) {
+		return err
+	}
+	s.Expired(limit)
+	s.Rollback()
+	s.state, s.expired = s.state.WithPhase(stmt.Failed), true
+	return s.caller.Await()
 }
 
 // start reads what the caller asks for and checks it against the sheet.
@@ -111,6 +136,11 @@
 		return errors.CombineErrors(err, s.caller.Answer(Reply{Refusal: refusalOf(err), Text: err.Message(), Phase: s.state.Phase}))
 	}
 	defer s.End()
+	if s.expired && q.Statement.Kind != stmt.Commit && q.Statement.Kind != stmt.Rollback {
+		s.expired = false
+		return s.caller.Answer(Reply{Refusal: Aborted, Text: "the transaction rested for too long and was rolled back", Phase: stmt.Failed})
+	}
+	s.expired = false
 	if reply, wrong := s.misplaced(q.Statement); wrong {
 		return s.caller.Answer(reply)
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -189,6 +189,24 @@
 	_ = s.SetReadDeadline(time.Now())
 }
 
+// WaitUntil bounds the wait for the next request, without end for the zero time. It
+// returns false, and changes nothing, once the wait was ended.
+func (s *Session) WaitUntil(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.ending {
+		_ = s.SetReadDeadline(t)
+	}
+	return !s.ending
+}
+
+// Expired logs that the open transaction rested for too long.
+func (s *Session) Expired(limit time.Duration) {
+	s.front.options.Log.Emit(event.TransactionExpired, event.Fields{
+		"CallerID": s.Caller.ID, "Caller": s.Caller.Name, "Service": s.Caller.Service, "LimitMs": limit.Milliseconds(),
+	})
+}
+
 // Leaving tells whether the proxy is about to leave.
 func (s *Session) Leaving() bool { return s.front.Leaving() }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -226,6 +226,8 @@
 		return nil, err
 	}
 	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
+	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
+	defer stop()
 	if _, err = m.greet(conn); err == nil {
 		err = m.writeFrame(conn, Frame{Relay: true})
 	}
--- a/internal/relay/line.go
+++ b/internal/relay/line.go
@@ -63,7 +63,7 @@
 	l.number++
 	raw, err := peer.EncodeArray(Job{
 		Number: l.number, Request: r.Name, Service: r.Caller.Service, Caller: r.Caller.Name, Waited: time.Since(r.Arrived),
-		Work: row, Replicated: r.Replicated, Floor: r.Floor, Parcel: x.Parcel(),
+		Work: row, Replicated: r.Replicated, Last: r.Last, Floor: r.Floor, Parcel: x.Parcel(),
 	})
 	if err != nil {
 		return fault.Wrap(err, fault.Oversize, "relay", "the request is too large for another proxy")
@@ -105,6 +105,7 @@
 
 // take completes a request with its outcome.
 func (l *line) take(r *chain.Request, x *flow.Exchange, o Outcome) error {
+	l.target.answered()
 	if o.Leaving {
 		l.target.leave()
 	}
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -16,6 +16,9 @@
 	// Shunned is until when the proxy is not to be tried before others: it could not be
 	// reached, or is leaving.
 	Shunned time.Time
+	// Failing tells that it has not answered since it was shunned: it is tried with one
+	// request at a time.
+	Failing bool
 	// Open is how many jobs it has not answered, and Oldest when the first of these was
 	// sent.
 	Open   int
@@ -39,7 +42,7 @@
 	cost := func(c Candidate) int {
 		const shunned, deputy, slow, far = 8, 4, 2, 1
 		sum := 0
-		if now.Before(c.Shunned) {
+		if now.Before(c.Shunned) || (c.Failing && c.Open > 0) {
 			sum += shunned
 		}
 		if c.Deputy {
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -60,3 +60,14 @@
 	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "s1", "s2", "n1"}))
 	g.Expect(relay.Order(list, "north", 0, noon.Add(time.Second))[0]).To(Equal("n1"))
 }
+
+// TestAFailingHostIsTriedWithOneRequest is a home that is cut off: its shun time has
+// passed, and the next request finds out whether it answers again.
+func TestAFailingHostIsTriedWithOneRequest(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates()
+	list[0].Failing = true
+	g.Expect(relay.Order(list, "north", 0, noon)[0]).To(Equal("n1"))
+	list[0].Open, list[0].Oldest = 1, noon
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "s1", "s2", "n1"}))
+}
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -11,10 +11,14 @@
 
 const (
 	// shunTime is how long a proxy that could not be reached is tried after others: about
-	// as long as a process takes to start again.
-	shunTime = time.Second
+	// as long as a process takes to start again. It doubles with each further failure, up
+	// to maxShunTime: about as long as a cut lasts that callers notice.
+	shunTime    = time.Second
+	maxShunTime = 8 * time.Second
 	// leaveTime is how long a proxy that is leaving is: longer than a drain.
 	leaveTime = 10 * time.Second
+	// maxFailures is as many as matter for how long a proxy is shunned.
+	maxFailures = 8
 	// maxIdle is how many idle connections to a proxy are kept.
 	maxIdle = 8
 )
@@ -28,7 +32,9 @@
 	// open are the times at which the jobs were sent that are under way.
 	open    []time.Time
 	shunned time.Time
-	closed  bool
+	// failures counts the jobs and attempts to connect that failed since the last answer.
+	failures int
+	closed   bool
 }
 
 // get returns an idle connection, the one used last first, or nil.
@@ -83,19 +89,31 @@
 	}
 }
 
-// shun notes that the proxy is to be tried after others for a while.
-func (t *target) shun(d time.Duration) {
+// leave notes that the proxy is leaving.
+func (t *target) leave() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.shunned = time.Now().Add(d)
+	t.shunned = time.Now().Add(leaveTime)
 }
 
-func (t *target) leave() { t.shun(leaveTime) }
+// answered notes that the proxy has answered a job.
+func (t *target) answered() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.failures = 0
+}
 
-// silent notes that a job got no answer. The idle connections may have lost their path
-// too, and are closed.
+// silent notes that a job got no answer, or that no connection could be opened. The idle
+// connections may have lost their path too, and are closed.
 func (t *target) silent() {
-	t.shun(shunTime)
+	t.mu.Lock()
+	now := time.Now()
+	if now.After(t.shunned) {
+		// What fails together is one failure.
+		t.shunned = now.Add(min(shunTime<<t.failures, maxShunTime))
+		t.failures = min(t.failures+1, maxFailures)
+	}
+	t.mu.Unlock()
 	t.closeIdle()
 }
 
@@ -120,15 +138,23 @@
 func (t *target) candidate() Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Candidate{Host: t.host.Name, Region: t.host.Region, Shunned: t.shunned, Open: len(t.open)}
+	c := Candidate{Host: t.host.Name, Region: t.host.Region, Shunned: t.shunned, Failing: t.failures > 0, Open: len(t.open)}
 	if len(t.open) > 0 {
 		c.Oldest = slices.MinFunc(t.open, time.Time.Compare)
 	}
 	return c
 }
 
+// dialTimeout ends the opening of a connection: three round trips between regions, and
+// as much again for a host that is slow.
+const dialTimeout = 400 * time.Millisecond
+
 // dial opens a connection to the proxy.
 func (t *target) dial(ctx context.Context, dial DialFunc) (*line, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	began := t.begin(time.Now())
+	defer t.end(began)
 	conn, err := dial(ctx, t.host)
 	if err != nil {
 		t.silent()
--- a/internal/share/places_test.go
+++ b/internal/share/places_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -108,3 +109,18 @@
 	slot.Release()
 	g.Expect(shares.Room("stock", near)).To(Equal(10))
 }
+
+// TestTheShareOfASilentHostServesOthers is the loss of one of two proxies: what it had is
+// this one's after three heartbeats.
+func TestTheShareOfASilentHostServesOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		shares := newCrowd(150)
+		shares.TakeWants("b", map[string]int{near.Name: 100})
+		shares.Wants()
+		g.Expect(shares.Room("stock", near)).To(BeNumerically("<=", 10))
+		time.Sleep(4 * time.Second)
+		shares.Wants()
+		g.Expect(shares.Room("stock", near)).To(BeNumerically(">=", 10))
+	})
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -88,7 +88,7 @@
 
 // New returns shares of which none is in use.
 func New(options Options) *Shares {
-	return &Shares{options: options, wants: newWants(), gates: make(map[string]*sized)}
+	return &Shares{options: options, wants: newWants(time.Now()), gates: make(map[string]*sized)}
 }
 
 // never is how far ahead the end lies of slots that do not lapse.
--- a/internal/share/wants.go
+++ b/internal/share/wants.go
@@ -23,6 +23,8 @@
 	told map[string]int
 	// others is the last word of each other proxy.
 	others map[string]word
+	// began is when this proxy could first have heard others.
+	began time.Time
 }
 
 type word struct {
@@ -30,8 +32,8 @@
 	at    time.Time
 }
 
-func newWants() *wants {
-	return &wants{own: make(map[string]int), told: make(map[string]int), others: make(map[string]word)}
+func newWants(now time.Time) *wants {
+	return &wants{began: now, own: make(map[string]int), told: make(map[string]int), others: make(map[string]word)}
 }
 
 // note takes the work that is at a member or waits for it.
@@ -65,8 +67,9 @@
 	w.others[host] = word{wants: of, at: now}
 }
 
-// of returns what the given proxies want at a member. One that has not been heard for
-// long wants an equal share.
+// of returns what the given proxies want at a member. One that has not been heard since
+// this proxy began wants an equal share until it could have been; one that is silent
+// since wants nothing, so that the others use what it cannot.
 func (w *wants) of(member, self string, hosts []string, equal int, now time.Time) map[string]int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -77,8 +80,10 @@
 		case host == self:
 		case heard && now.Sub(said.at) < wantLife:
 			list[host] = said.wants[member] + 1
-		default:
+		case now.Sub(w.began) < wantLife:
 			list[host] = equal
+		default:
+			list[host] = 1
 		}
 	}
 	return list
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -111,6 +111,11 @@
 	return v.silent[member] || !heard
 }
 
+// Blind tells whether no member answered the last question.
+func (v View) Blind() bool {
+	return len(v.members) > 0 && !slices.ContainsFunc(v.members, func(m Member) bool { return !v.silent[m.Name] })
+}
+
 // Refusing tells whether nothing listened at the member's address when it was
 // asked last: its process has ended.
 func (v View) Refusing(member string) bool { return v.refusing[member] }
