A fault soak of real processes; a proxy ends while a member is asked

Cause, from the stacks it leaves: Bases.close held the lock of the pools while it waited for the watches, and a watch that was asking a member needed that lock. Watches end first now.

--- a/cmd/poplarlab/main.go
+++ b/cmd/poplarlab/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(cli.Main(storeCommand(), memberCommand(), loadCommand(), demoCommand()))
+	os.Exit(cli.Main(storeCommand(), memberCommand(), loadCommand(), demoCommand(), soakCommand()))
 }
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -379,12 +379,19 @@
 	return stops
 }
 
+// close ends all watches, and then the pools that they may still be using.
 func (b *Bases) close() {
 	b.mu.Lock()
-	defer b.mu.Unlock()
+	var watches []func()
 	for _, s := range b.bases {
-		s.stop()
+		watches = append(watches, s.stop)
+	}
+	b.mu.Unlock()
+	for _, stop := range watches {
+		stop()
 	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
 	for _, owned := range b.pools {
 		owned.stop()
 	}
--- a/internal/labpf/labpf.go
+++ b/internal/labpf/labpf.go
@@ -21,6 +21,9 @@
 	PromoteDelay time.Duration
 	// Connections is how many connections each member takes.
 	Connections int
+	// Via returns the address under which a member is listed, given its own; nil stands
+	// for the same.
+	Via func(address string) (string, error)
 }
 
 // Database is the name of the platform's database.
@@ -104,8 +107,14 @@
 		return err
 	}
 	p.stops = append(p.stops, m.stop)
+	address := m.address
+	if p.options.Via != nil {
+		if address, err = p.options.Via(address); err != nil {
+			return err
+		}
+	}
 	p.Put("servers", m.name, map[string]any{
-		"service": Database, "address": m.address, "zone": DataCentre(i), "version": "v1", "slots": 5, "state": "ready", "seq": 1,
+		"service": Database, "address": address, "zone": DataCentre(i), "version": "v1", "slots": 5, "state": "ready", "seq": 1,
 	})
 	return nil
 }
