--- a/internal/chain/relay.go
+++ b/internal/chain/relay.go
@@ -84,10 +84,11 @@
 
 // runAway runs a request at another proxy, and keeps or gives back the connection.
 func (f *filters) runAway(ctx context.Context, r *Request, away Away) error {
-	// A read that gets no answer goes to another proxy while that still helps.
 	deadline := r.Deadline.Add(f.AnswerGrace + relayGrace)
-	if !r.pinned && !r.Write() {
-		deadline = minTime(deadline, time.Now().Add(relayPatience+r.Work.Patience()))
+	if !r.pinned && !r.Last && !r.Write() {
+		// A read that gets no answer goes to another proxy while that still helps: work waits
+		// for less than half of its time limit.
+		deadline = minTime(deadline, time.Now().Add(r.Work.Deadline/2))
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
@@ -108,15 +109,9 @@
 	return err
 }
 
-const (
-	// relayGrace is how much longer than its deadline a request that runs at another
-	// proxy may take: that proxy ends it at its deadline, and the answer has a way to
-	// come.
-	relayGrace = 200 * time.Millisecond
-	// relayPatience is how long a read awaits an answer of another proxy, besides the
-	// time that it may wait for a place there: most reads run in a tenth of it.
-	relayPatience = 700 * time.Millisecond
-)
+// relayGrace is how much longer than its deadline a request that runs at another proxy may
+// take: that proxy ends it at its deadline, and the answer has a way to come.
+const relayGrace = 200 * time.Millisecond
 
 func minTime(a, b time.Time) time.Time {
 	if b.Before(a) {
--- a/internal/labset/help_test.go
+++ b/internal/labset/help_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 	"strings"
+	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
@@ -74,3 +75,18 @@
 	_, err = book.Load(ctx, set.Store(), "tester", strings.Replace(csv, was, is, 1), time.Now())
 	return err
 }
+
+// TestNoAddressIsGivenTwice asks for addresses that are not used yet.
+func TestNoAddressIsGivenTwice(t *testing.T) {
+	seen := make(map[string]bool)
+	for range 50 {
+		address, err := labset.FreeAddress()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if seen[address] {
+			t.Fatalf("got %s twice", address)
+		}
+		seen[address] = true
+	}
+}
--- a/internal/labset/labset.go
+++ b/internal/labset/labset.go
@@ -8,10 +8,11 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/app"
@@ -223,8 +224,14 @@
 	lowestPort = 15_000
 	portCount  = 15_000
 	portTries  = 100
+	// processPorts is how far the first ports of processes with successive numbers lie
+	// apart: a port that one process was given, and has not used yet, is no other's.
+	processPorts = 64
 )
 
+// lastPort counts the ports that this process was given.
+var lastPort atomic.Uint32
+
 // NoPortError reports that no free port was found.
 type NoPortError struct{ Last error }
 
@@ -240,7 +247,8 @@
 func FreeAddress() (string, error) {
 	var last error
 	for range portTries {
-		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+rand.IntN(portCount))
+		place := os.Getpid()*processPorts + int(lastPort.Add(1))
+		address := fmt.Sprintf("127.0.0.1:%d", lowestPort+place%portCount)
 		listener, err := net.Listen("tcp", address)
 		if err == nil {
 			return address, listener.Close()
@@ -362,7 +370,7 @@
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for _, p := range s.proxies {
-		for !ready(ctx, p.Settings.OperatorAddress) {
+		for !Ready(ctx, p.Settings.OperatorAddress) {
 			select {
 			case <-time.After(readyLook):
 			case <-ctx.Done():
@@ -373,7 +381,8 @@
 	return nil
 }
 
-func ready(ctx context.Context, address string) bool {
+// Ready tells whether a proxy reports itself ready, given the address for its operators.
+func Ready(ctx context.Context, address string) bool {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+app.PathReady, http.NoBody)
 	if err != nil {
 		return false
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -15,8 +15,9 @@
 	// to maxShunTime: about as long as a cut lasts that callers notice.
 	shunTime    = time.Second
 	maxShunTime = 8 * time.Second
-	// leaveTime is how long a proxy that is leaving is: longer than a drain.
-	leaveTime = 10 * time.Second
+	// leaveTime is how long a proxy that is leaving is tried after others: most drains are
+	// over by then, and one that is not turns a request away at once.
+	leaveTime = 4 * time.Second
 	// maxFailures is as many as matter for how long a proxy is shunned.
 	maxFailures = 8
 	// maxIdle is how many idle connections to a proxy are kept.
--- a/internal/soak/proxy.go
+++ b/internal/soak/proxy.go
@@ -5,7 +5,6 @@
 	"encoding/json"
 	"fmt"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,7 +12,6 @@
 	"syscall"
 	"time"
 
-	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/labpf"
 	"poplarrouter.example/poplarrouter/internal/labset"
@@ -132,16 +130,7 @@
 func (p *proxy) serves() bool {
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.settings.OperatorAddress+app.PathReady, http.NoBody)
-	if err != nil {
-		return false
-	}
-	response, err := http.DefaultClient.Do(request)
-	if err != nil {
-		return false
-	}
-	_ = response.Body.Close()
-	return response.StatusCode == http.StatusOK
+	return labset.Ready(ctx, p.settings.OperatorAddress)
 }
 
 // NotReadyError reports a proxy that does not become ready. Ended tells that its process
