--- a/internal/chain/export_test.go
+++ b/internal/chain/export_test.go
@@ -14,5 +14,8 @@
 	return (&filters{Options: o}).run(ctx, r)
 }
 
-// OutOfSight is exported for tests.
-var OutOfSight = outOfSight
+// OutOfSight and Passed are exported for tests.
+var (
+	OutOfSight = outOfSight
+	Passed     = passed
+)
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -75,10 +76,32 @@
 		return err
 	}
 	r.targets, r.need = f.withRoom(r.Work.Database, found.Targets), found.Need
-	f.Log.Emit(event.ReadRouted, f.routed(r, r.targets[0], found.Reason, r.need.Term))
+	fields := f.routed(r, r.targets[0], found.Reason, r.need.Term)
+	if v := r.base.View(); isPrimary(v, r.targets[0]) {
+		fields["Passed"] = passed(v, found.Targets, time.Now())
+	}
+	f.Log.Emit(event.ReadRouted, fields)
 	return next(ctx, r)
 }
 
+// passed describes the members that could not serve a read: how far each was known to
+// have applied the log, and how long ago it was asked.
+func passed(v view.View, targets []view.Member, now time.Time) []string {
+	var list []string
+	for _, m := range v.Members() {
+		if slices.ContainsFunc(targets, func(t view.Member) bool { return t.Name == m.Name }) {
+			continue
+		}
+		r, heard := v.Report(m.Name)
+		if !heard {
+			list = append(list, m.Name+" has not answered yet")
+			continue
+		}
+		list = append(list, fmt.Sprintf("%s applied %d:%d, asked %d ms ago", m.Name, r.State.Term, r.State.Applied, now.Sub(r.Asked).Milliseconds()))
+	}
+	return list
+}
+
 // withRoom puts the members first at which work may begin at once, in their order, then
 // those for which the least work waits: a burst near one member goes on to the others.
 func (f *filters) withRoom(database string, list []view.Member) []view.Member {
