A proxy that has only just started waits for its lists

Change: a request that comes before the lists are known waits for them, for as long as it may wait for a place (Bases.AwaitPlaced).

Test: TestAFleetThatStartsColdRefusesNothingForWantOfLists, red before.

--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -78,6 +78,7 @@
 			r.base = r.Lease.base
 			return next(ctx, r)
 		}
+		f.awaitPlaced(ctx, r)
 		base, found := f.Bases.Need(r.Work.Database)
 		if !found {
 			return fault.New(fault.NoPrimary, "admit", "the platform lists no database %q", r.Work.Database)
@@ -90,6 +91,17 @@
 	}
 }
 
+// awaitPlaced waits for the lists of a proxy that has only just started, which come within a
+// fraction of a second unless the store is out of reach.
+func (f *filters) awaitPlaced(ctx context.Context, r *Request) {
+	if f.Bases.Placed() {
+		return
+	}
+	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(r.Work.Patience()))
+	defer cancel()
+	f.Bases.AwaitPlaced(ctx)
+}
+
 // outOfSight tells whether another proxy may serve a request that this one cannot: no
 // member answers it, or the primary does not, and nothing else proves what a read must see.
 func outOfSight(v view.View, r *Request) bool {
--- a/internal/chain/relay.go
+++ b/internal/chain/relay.go
@@ -37,6 +37,7 @@
 		if r.pinned || r.Given || f.Relay == nil {
 			return next(ctx, r)
 		}
+		f.awaitPlaced(ctx, r)
 		hosts := f.Relay.Route(r.Work.Database, r.Caller.ID)
 		hosts = hosts[:min(len(hosts), relayTries)]
 		var err error
--- a/internal/ctrl/bases.go
+++ b/internal/ctrl/bases.go
@@ -54,6 +54,8 @@
 	listed   map[string]book.Database
 	homes    map[string][]string
 	deputies map[string][]string
+	// placed tells that all of these are known.
+	placed bool
 	// guests are the databases that this proxy serves since it was asked to, though it
 	// is none of their homes, with the time at which it was asked last.
 	guests map[string]time.Time
@@ -127,6 +129,29 @@
 	return b.bases[name].base, true
 }
 
+// Placed tells whether the lists of databases and, where databases have homes, of hosts are
+// known, so that a database that is not found is not listed.
+func (b *Bases) Placed() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.placed
+}
+
+// AwaitPlaced waits until Placed, or until the context ends.
+func (b *Bases) AwaitPlaced(ctx context.Context) {
+	for {
+		_, changed := b.watched.Watch()
+		if b.Placed() {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 // Homes tells which hosts serve a database, and whether this proxy is one of them. A
 // database that is not listed has none.
 func (b *Bases) Homes(name string) (hosts []string, here bool) {
@@ -319,6 +344,7 @@
 // place works out the homes of all listed databases. The lock must be held.
 func (b *Bases) place(held book.Book) {
 	b.listed, b.homes, b.deputies = make(map[string]book.Database), make(map[string][]string), make(map[string][]string)
+	b.placed = held.Serial(book.Databases) > 0 && (b.options.Homes == nil || held.Serial(book.Hosts) > 0)
 	hosts := held.LiveHosts()
 	for _, d := range b.roster.Databases() {
 		b.listed[d.Name] = d
