A request waits half a second at most for a proxy's first lists

Cause: over PostgreSQL, work without an aim waits until its deadline, which the wait for the first lists would have used up; what cannot be served is refused sooner. On the users' platform nothing changes (requests there wait for 400 ms at most).

--- a/internal/chain/admit.go
+++ b/internal/chain/admit.go
@@ -97,11 +97,15 @@
 	if f.Bases.Placed() {
 		return
 	}
-	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(r.Work.Patience()))
+	ctx, cancel := context.WithDeadline(ctx, r.Arrived.Add(min(r.Work.Patience(), listsWait)))
 	defer cancel()
 	f.Bases.AwaitPlaced(ctx)
 }
 
+// listsWait is how long a request waits for the lists of a proxy that has just started: a
+// store that answers gives them within a few round trips.
+const listsWait = 500 * time.Millisecond
+
 // outOfSight tells whether another proxy may serve a request that this one cannot: no
 // member answers it, or the primary does not, and nothing else proves what a read must see.
 func outOfSight(v view.View, r *Request) bool {
