--- a/internal/labpf/relay_test.go
+++ b/internal/labpf/relay_test.go
@@ -123,6 +123,8 @@
 	began := time.Now()
 	s.comes(c, "WRITE k replaced")
 	s.Expect(time.Since(began)).To(BeNumerically("<", target))
+	// Another proxy may be asked that has not heard of the new primary yet, and refuses.
+	s.comes(c, "READ k")
 	s.Expect(s.does(c, "READ k")).To(Equal("replaced"))
 	s.Expect(s.platform.Count("replaced")).To(Equal(1))
 }
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -14,8 +14,11 @@
 	// can be reached.
 	Deputy bool
 	// Shunned is until when the proxy is not to be tried before others: it could not be
-	// reached, or is leaving.
+	// reached.
 	Shunned time.Time
+	// Leaving is until when it is not to be tried at all before any other: it said that it
+	// is leaving.
+	Leaving time.Time
 	// Failing tells that it has not answered since it was shunned: it is tried with one
 	// request at a time.
 	Failing bool
@@ -40,8 +43,11 @@
 		list = slices.Concat(list[first:], list[:first])
 	}
 	cost := func(c Candidate) int {
-		const shunned, deputy, slow, far = 8, 4, 2, 1
+		const leaving, shunned, deputy, slow, far = 16, 8, 4, 2, 1
 		sum := 0
+		if now.Before(c.Leaving) {
+			sum += leaving
+		}
 		if now.Before(c.Shunned) || (c.Failing && c.Open > 0) {
 			sum += shunned
 		}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -61,6 +61,18 @@
 	g.Expect(relay.Order(list, "north", 0, noon.Add(time.Second))[0]).To(Equal("n1"))
 }
 
+// TestALeavingHostIsTriedAfterThoseOutOfReach is a restart of hosts in turn: one that could
+// not be reached a moment ago may be back, and one that is leaving runs nothing.
+func TestALeavingHostIsTriedAfterThoseOutOfReach(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates()
+	list[0].Leaving = noon.Add(time.Second)
+	for i := range list[1:] {
+		list[i+1].Shunned = noon.Add(time.Second)
+	}
+	g.Expect(relay.Order(list, "north", 0, noon)).To(Equal([]string{"n2", "s1", "s2", "n1"}))
+}
+
 // TestAFailingHostIsTriedWithOneRequest is a home that is cut off: its shun time has
 // passed, and the next request finds out whether it answers again.
 func TestAFailingHostIsTriedWithOneRequest(t *testing.T) {
--- a/internal/relay/target.go
+++ b/internal/relay/target.go
@@ -33,6 +33,7 @@
 	// open are the times at which the jobs were sent that are under way.
 	open    []time.Time
 	shunned time.Time
+	leaving time.Time
 	// failures counts the jobs and attempts to connect that failed since the last answer.
 	failures int
 	closed   bool
@@ -94,7 +95,7 @@
 // closed before that.
 func (t *target) leave() {
 	t.mu.Lock()
-	t.shunned = time.Now().Add(leaveTime)
+	t.leaving = time.Now().Add(leaveTime)
 	t.mu.Unlock()
 	t.closeIdle()
 }
@@ -141,7 +142,7 @@
 func (t *target) candidate() Candidate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	c := Candidate{Host: t.host.Name, Region: t.host.Region, Shunned: t.shunned, Failing: t.failures > 0, Open: len(t.open)}
+	c := Candidate{Host: t.host.Name, Region: t.host.Region, Shunned: t.shunned, Leaving: t.leaving, Failing: t.failures > 0, Open: len(t.open)}
 	if len(t.open) > 0 {
 		c.Oldest = slices.MinFunc(t.open, time.Time.Compare)
 	}
