Make a lingering primary step down before a planned handover promotes

Promises of three of five members with the primary silent no longer suffice: the former primary or all replicas must have promised. The lease is not waited out for a former primary that has stepped down and reports itself as a replica.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -168,7 +168,7 @@
 // than the time between a promotion command and its effect.
 func lineRules(s config.Settings) elect.Rules {
 	rules := elect.RulesFor(s.Timing.SuspectMs.Duration())
-	rules.SharedTerms = true
+	rules.SharedTerms, rules.PromotionDeposes = true, s.PromotionDeposes
 	rules.AttemptTimeout = 4 * s.Timing.SuspectMs.Duration()
 	rules.Lease = readLease + leaseMargin
 	// Another voter's claim is visible in the fences of the members, which are queried
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -70,6 +70,9 @@
 	// the speed of its cores relative to other hosts; 0 means unknown.
 	ProcessorShare float64 `json:",omitempty"`
 	ProcessorSpeed float64 `json:",omitempty"`
+	// PromotionDeposes is set if the platform makes the former primary stop leading when it
+	// promotes another member.
+	PromotionDeposes bool `json:",omitempty"`
 	// PeerSecret authenticates proxies to one another.
 	PeerSecret string
 	// OperatorSecret authenticates operators' commands.
--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -71,22 +71,23 @@
 		actions = append(actions, Action{AnnounceClaim: &claim})
 	}
 	primary, found := v.Primary()
+	m.former = primary.Member
 	switch {
 	case !found || m.target == "":
 		actions = append(actions, m.fenceUnanswered(v)...)
 	case m.rules.SharedTerms:
-		actions = append(actions, m.fenceOthers(v, primary.Member)...)
+		actions = append(actions, m.fenceOthers(v)...)
 	default:
-		actions = append(actions, m.fence(primary.Member))
+		actions = append(actions, m.fence(m.former))
 	}
 	return m, actions
 }
 
 // fenceOthers fences every member other than the primary and the handover target.
-func (m Machine) fenceOthers(v view.View, primary string) []Action {
+func (m Machine) fenceOthers(v view.View) []Action {
 	var actions []Action
 	for _, member := range v.Members() {
-		if member.Name != primary && member.Name != m.target {
+		if member.Name != m.former && member.Name != m.target {
 			actions = append(actions, m.fence(member.Name))
 		}
 	}
@@ -129,7 +130,13 @@
 		if m.termStarted(*a) {
 			return m.abandon(now.Add(m.rules.AttemptTimeout), ClaimLost)
 		}
-		m = m.withFenceAnswer(now, v, *a)
+		m = m.withFenceAnswer(now, *a)
+	}
+	switch promised := m.quorumPromised(v); {
+	case !promised:
+		m.majorityFencedAt = time.Time{}
+	case m.majorityFencedAt.IsZero():
+		m.majorityFencedAt = now
 	}
 	if now.Sub(m.stageStarted) >= m.rules.AttemptTimeout {
 		return m.timeOut(now)
@@ -144,7 +151,7 @@
 		return m.awaitTarget(v)
 	}
 	all := len(m.answered) == len(v.Members())
-	if m.majorityFencedAt.IsZero() || (!all && now.Sub(m.majorityFencedAt) < m.rules.FenceGrace) || m.leaseMayHold(now, v) {
+	if m.majorityFencedAt.IsZero() || (!all && now.Sub(m.majorityFencedAt) < m.rules.FenceGrace) || m.leaseMayHold(now) {
 		return m, nil
 	}
 	m.stage, m.candidate = Promoting, m.longestFenced(v)
@@ -158,19 +165,36 @@
 }
 
 // leaseMayHold reports whether a read lease of the former primary may still be valid.
-func (m Machine) leaseMayHold(now time.Time, v view.View) bool {
-	primary, found := v.Primary()
-	if found {
-		_, promised := m.fenced[primary.Member]
-		if promised {
-			return false
+func (m Machine) leaseMayHold(now time.Time) bool {
+	return !m.formerPromised() && now.Sub(m.majorityFencedAt) < m.rules.Lease
+}
+
+// formerPromised reports whether the former primary is known and has promised the claimed
+// term: it has stepped down.
+func (m Machine) formerPromised() bool {
+	_, promised := m.fenced[m.former]
+	return promised
+}
+
+// quorumPromised reports whether enough members have promised that the longest log among
+// them holds every acknowledged entry, and that the former primary can acknowledge no
+// other one. Where an entry is acknowledged once a single replica holds it, this takes
+// the former primary or all replicas.
+func (m Machine) quorumPromised(v view.View) bool {
+	members, promised := v.Members(), 0
+	for _, member := range members {
+		if _, found := m.fenced[member.Name]; found {
+			promised++
 		}
 	}
-	return now.Sub(m.majorityFencedAt) < m.rules.Lease
+	if m.rules.SharedTerms && !m.formerPromised() && promised < len(members)-1 {
+		return false
+	}
+	return promised >= group.Majority(len(members))
 }
 
 // withFenceAnswer records a member's promise, or that it did not answer.
-func (m Machine) withFenceAnswer(now time.Time, v view.View, a Answer) Machine {
+func (m Machine) withFenceAnswer(now time.Time, a Answer) Machine {
 	m.answered = maps.Clone(m.answered)
 	m.answered[a.Member] = true
 	if a.Failed {
@@ -183,9 +207,6 @@
 	}
 	m.fenced = maps.Clone(m.fenced)
 	m.fenced[a.Member] = a.State
-	if m.majorityFencedAt.IsZero() && len(m.fenced) >= group.Majority(len(v.Members())) {
-		m.majorityFencedAt = now
-	}
 	return m
 }
 
@@ -226,21 +247,42 @@
 
 // awaitTargetInService waits, with the primary in service and the other replicas fenced,
 // until the handover target has received every entry that these replicas have. From then
-// on the target receives every acknowledged entry, so that it can be promoted.
+// on the target receives every acknowledged entry, so that it can be promoted. A primary
+// that would not be deposed by the promotion must have stepped down before.
 func (m Machine) awaitTargetInService(v view.View) (Machine, []Action) {
-	target, reported := v.Report(m.target)
-	if !reported || len(m.fenced) < len(v.Members())-2 {
+	switch {
+	case !m.targetHoldsOthers(v):
+		return m, nil
+	case m.rules.PromotionDeposes || m.formerPromised():
+	case !m.caughtUp:
+		m.caughtUp = true
+		return m, []Action{m.fence(m.former)}
+	default:
 		return m, nil
-	}
-	for _, s := range m.fenced {
-		if target.State.LastEntry().Less(s.LastEntry()) {
-			return m, nil
-		}
 	}
 	m.stage, m.candidate = Promoting, m.target
 	return m, []Action{{Promote: &Order{Member: m.candidate, Claim: m.claim}}}
 }
 
+// targetHoldsOthers reports whether every replica other than the handover target has
+// promised, and the target has received every entry that these had.
+func (m Machine) targetHoldsOthers(v view.View) bool {
+	target, reported := v.Report(m.target)
+	if !reported {
+		return false
+	}
+	for _, member := range v.Members() {
+		if member.Name == m.target || member.Name == m.former {
+			continue
+		}
+		promise, promised := m.fenced[member.Name]
+		if !promised || target.State.LastEntry().Less(promise.LastEntry()) {
+			return false
+		}
+	}
+	return true
+}
+
 // longestFenced returns the fenced member with the longest log. Among equal logs it
 // prefers the handover target, then the former primary, then the first member of the
 // database's list that is not draining.
@@ -251,7 +293,7 @@
 		if !found {
 			continue
 		}
-		rank := m.preference(v, member)
+		rank := m.preference(member)
 		log := m.fenced[best].LastEntry()
 		if best == "" || log.Less(s.LastEntry()) || (log == s.LastEntry() && rank > bestRank) {
 			best, bestRank = member.Name, rank
@@ -260,12 +302,11 @@
 	return best
 }
 
-func (m Machine) preference(v view.View, member view.Member) int {
-	primary, found := v.Primary()
+func (m Machine) preference(member view.Member) int {
 	switch {
 	case member.Name == m.target:
 		return 3
-	case found && primary.Member == member.Name && m.target == "":
+	case member.Name == m.former && m.target == "":
 		return 2
 	case !member.Draining:
 		return 1
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -74,9 +74,13 @@
 	Lease time.Duration `json:",omitempty"`
 	// SharedTerms is set if members promise a term to every promoter, and if a promotion
 	// starts the next term regardless of promises; claims are then distinguished by their
-	// tokens. A planned handover in this mode leaves the primary in service: the other
-	// replicas are fenced, so that the target receives every acknowledged entry.
+	// tokens. A planned handover in this mode fences the replicas other than the target
+	// first, so that the target receives every acknowledged entry.
 	SharedTerms bool `json:",omitempty"`
+	// PromotionDeposes is set if the former primary stops leading when another member is
+	// promoted. A planned handover then leaves it in service until that moment. Otherwise
+	// it is told to step down first, because it would go on answering reads.
+	PromotionDeposes bool `json:",omitempty"`
 }
 
 // suspectAfter returns how long a member may be unresponsive before it is suspected.
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -32,8 +32,10 @@
 	longestReplicaLog group.Floor
 	replicaLogGrewAt  time.Time
 	claim             Claim
-	fenced            map[string]group.State
-	answered          map[string]bool
+	// former is the primary that the claim replaces, or empty if none was known.
+	former   string
+	fenced   map[string]group.State
+	answered map[string]bool
 	// refenceAt holds, for each member that did not answer a fence order, when the order
 	// is repeated.
 	refenceAt        map[string]time.Time
@@ -123,7 +125,7 @@
 
 func (m Machine) reset() Machine {
 	m.stage, m.votes, m.responding, m.fenced, m.answered, m.refenceAt = Watching, nil, nil, nil, nil, nil
-	m.candidate, m.target, m.caughtUp, m.majorityFencedAt = "", "", false, time.Time{}
+	m.candidate, m.target, m.former, m.caughtUp, m.majorityFencedAt = "", "", "", false, time.Time{}
 	m.superseded = false
 	return m
 }
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -120,6 +120,11 @@
 		rules := elect.RulesFor(time.Second)
 		rules.SharedTerms, rules.Lease = true, time.Second
 		r.machine = elect.New(rules, "p1", []string{"p1", "p2", "p3"}, r.start)
+	case "deposes":
+		// A promotion also deposes the former primary.
+		rules := elect.RulesFor(time.Second)
+		rules.SharedTerms, rules.Lease, rules.PromotionDeposes = true, time.Second, true
+		r.machine = elect.New(rules, "p1", []string{"p1", "p2", "p3"}, r.start)
 	case "tick":
 	default:
 		r.t.Fatalf("unknown event %q", verb)
