Pull documents between hosts, watch the store from few of them, settle the list first

Every host watches three lists, and while a fleet registers each takes itself for an owner of most databases.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -164,7 +164,8 @@
 
 func newDocuments(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, g *guard.Guard, mesh *peer.Connections, p *protocolParts) *ctrl.Documents {
 	documents, cleanUp := ctrl.NewDocuments(ctrl.DocumentsOptions{
-		Host: s.Host, Region: s.Region, Store: st, Log: log, Guard: g, Broadcaster: mesh, LastHeard: mesh.LastReceived, Retry: storeRetry, WatchAlways: p.watchAlways, ChangePause: p.changePause,
+		Host: s.Host, Region: s.Region, Store: st, Log: log, Guard: g, Broadcaster: mesh, LastHeard: mesh.LastReceived, Retry: storeRetry, ChangePause: p.changePause,
+		WatchersPerRegion: p.storeWatchers, FirstWait: p.firstWait, MaxStoreAge: p.maxStoreAge,
 	})
 	onStop(lc, cleanUp)
 	return documents
@@ -193,6 +194,7 @@
 		OnHosts:      mesh.SetHosts,
 		RemovalDelay: p.removalDelay,
 		Owners:       p.owners,
+		SettleDelay:  p.settleDelay,
 	})
 	p.bind(controllers, documents)
 	onStop(lc, cleanUp)
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -66,6 +66,16 @@
 	return documents.Book()
 }
 
+// hostListed reports whether the list of hosts has the given entry.
+func (l *lateParts) hostListed(ctx context.Context, host book.Host) bool {
+	select {
+	case <-l.bound:
+		return l.documents.HostListed(ctx, host)
+	case <-ctx.Done():
+		return false
+	}
+}
+
 // pool returns the connection pool of a member.
 func (l *lateParts) pool(m view.Member) *member.Pool {
 	controllers, _ := l.get()
@@ -78,7 +88,7 @@
 	l := &lateParts{bound: make(chan struct{})}
 	promoter, closePromoter := memb.NewPromoter(s.PromoteAddress, s.Host, plainDial(dialTimeout))
 	onStop(lc, closePromoter)
-	onStop(lc, ctrl.Register(st, log, hostOf(s, mesh.Address()), storeRetry))
+	onStop(lc, ctrl.Register(st, log, hostOf(s, mesh.Address()), storeRetry, l.hostListed))
 	shares := share.New(share.Options{
 		Host: s.Host, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
@@ -90,9 +100,12 @@
 		relay:           relays,
 		owners:          place.Owners,
 		rules:           lineRules(s),
-		watchAlways:     true,
+		storeWatchers:   lineStoreWatchers,
+		firstWait:       firstDocumentWait,
+		maxStoreAge:     2 * s.Timing.WatchMs.Duration(),
 		changePause:     map[book.Kind]time.Duration{book.Hosts: listChangePause, book.Databases: listChangePause, book.Sheet: sheetChangePause},
 		removalDelay:    memberRemovalDelay,
+		settleDelay:     hostSettleDelay,
 		leadershipLease: readLease,
 		activePoll:      lineActivePoll,
 		maxProofAge:     readLease * 7 / 10,
@@ -156,6 +169,21 @@
 	sheetChangePause = time.Second / 4
 )
 
+// hostSettleDelay is how long the list of hosts must be unchanged before a new host serves
+// databases. The hosts of a fleet start within a fraction of a second of each other, and
+// each reads their entries in a few batches.
+const hostSettleDelay = 2 * time.Second
+
+const (
+	// lineStoreWatchers is the number of hosts in each region that watch the store. The
+	// platform's store may turn many of them away while it serves others; the hosts of a
+	// small site all watch it.
+	lineStoreWatchers = 9
+	// firstDocumentWait is how long a starting host waits for the documents of its peers. A
+	// list of hosts takes several round trips between regions to read.
+	firstDocumentWait = time.Second
+)
+
 // memberRemovalDelay is how long a member is kept after it disappears from the list.
 // Entries that expired while the store was unavailable reappear within about two seconds
 // of its recovery.
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -38,8 +38,12 @@
 	open    func(database string, m view.Member) (*member.Pool, func())
 	control ctrl.Dialer
 	rules   elect.Rules
-	// watchAlways makes every proxy watch the store.
-	watchAlways bool
+	// storeWatchers is the number of proxies in each region that watch the store, firstWait
+	// how long a starting proxy waits for the documents of its peers, and maxStoreAge the age
+	// of the store's last answer to any proxy above which each reads it itself.
+	storeWatchers int
+	firstWait     time.Duration
+	maxStoreAge   time.Duration
 	// changePause is the pause after a change of a document before the store is queried
 	// again.
 	changePause map[book.Kind]time.Duration
@@ -53,6 +57,9 @@
 	leased gate.Databases
 	// removalDelay is how long a member is kept after it disappears from the list.
 	removalDelay time.Duration
+	// settleDelay is how long the list of hosts must be unchanged before this proxy, if it
+	// is new, serves databases.
+	settleDelay time.Duration
 	// bind receives the components that are built after these parts.
 	bind        func(*ctrl.Controllers, *ctrl.Documents)
 	answerGrace time.Duration
@@ -110,6 +117,8 @@
 	postgresReplicaWait = 20 * time.Millisecond
 	// postgresActivePoll is the pause between status queries while requests wait.
 	postgresActivePoll = time.Millisecond
+	// postgresStoreWatchers is the number of proxies in each region that watch the store.
+	postgresStoreWatchers = 3
 )
 
 func newPostgresParts(s config.Settings, bytes *meter.Meter) *protocolParts {
@@ -120,7 +129,9 @@
 		answerGrace: postgresAnswerGrace,
 		replicaWait: postgresReplicaWait,
 		activePoll:  postgresActivePoll,
-		demand:      noDemand{},
+
+		storeWatchers: postgresStoreWatchers,
+		demand:        noDemand{},
 	}
 	p.open = func(database string, m view.Member) (*member.Pool, func()) {
 		login := loginOf(s, m, meter.Work, bytes)
--- a/internal/ctrl/changepause_test.go
+++ b/internal/ctrl/changepause_test.go
@@ -45,7 +45,7 @@
 		kv := &countingStore{Memory: labkv.New()}
 		documents, stop := ctrl.NewDocuments(ctrl.DocumentsOptions{
 			Host: "h", Store: kv, Log: log, Guard: guard.New(log, prometheus.NewRegistry(), nil), Broadcaster: noBroadcast{},
-			LastHeard: time.Now, WatchAlways: true, Retry: time.Second, ChangePause: map[book.Kind]time.Duration{book.Hosts: time.Second / 2},
+			LastHeard: time.Now, WatchersPerRegion: 100, Retry: time.Second, ChangePause: map[book.Kind]time.Duration{book.Hosts: time.Second / 2},
 		})
 		defer stop()
 		var version store.Version
--- a/internal/ctrl/controllers.go
+++ b/internal/ctrl/controllers.go
@@ -36,6 +36,11 @@
 	// of the owners is reachable, given the list of hosts. If it is nil, every proxy
 	// serves every database.
 	Owners func(database string, hosts []book.Host) (owners, standbyOwners []string)
+	// SettleDelay is how long the list of hosts must be unchanged before this proxy serves
+	// the databases that it owns without a request for them, unless the first list already
+	// has this proxy. While a fleet starts, each host takes itself for an owner of most
+	// databases.
+	SettleDelay time.Duration
 }
 
 // Controllers keeps a Controller and the connection pools of each database that this proxy
@@ -44,8 +49,9 @@
 	options ControllersOptions
 
 	watched *duty.Cell[[]Watched]
-	// roster is owned by the background task that follows the documents.
-	roster roster.Membership
+	// roster and settling are owned by the background task that follows the documents.
+	roster   roster.Membership
+	settling settling
 
 	mu          sync.Mutex
 	controllers map[string]*entry
@@ -55,10 +61,12 @@
 	listed        map[string]book.Database
 	owners        map[string][]string
 	standbyOwners map[string][]string
+	// settled is set once this proxy serves the databases that it owns.
+	settled bool
 	// ownersKnown is set once listed, owners and standbyOwners are all known.
 	ownersKnown bool
-	// nonOwned are the databases that this proxy serves on request without being one of
-	// their owners, with the time of the last request.
+	// nonOwned are the databases that this proxy serves on request, without being one of
+	// their owners or before it is settled, with the time of the last request.
 	nonOwned map[string]time.Time
 }
 
@@ -94,6 +102,7 @@
 	c := &Controllers{options: options, watched: duty.NewCell[[]Watched](nil), controllers: make(map[string]*entry), pools: make(map[poolKey]ownedPool), nonOwned: make(map[string]time.Time)}
 	c.options.Controller.OnReplaced = c.closeReplaced
 	c.roster = roster.New(options.RemovalDelay)
+	c.settling = newSettling(options.Controller.Host, options.SettleDelay)
 	stop := duty.Run(c.run)
 	return c, func() {
 		stop()
@@ -121,7 +130,7 @@
 	if !listed {
 		return nil, false
 	}
-	if !c.isOwner(name) {
+	if !c.isOwner(name) || !c.settled {
 		c.nonOwned[name] = time.Now()
 	}
 	if _, found := c.controllers[name]; !found {
@@ -280,6 +289,7 @@
 		c.apply(documents)
 		select {
 		case <-changed:
+		case <-c.settling.due():
 		case <-c.removalDue():
 		case <-c.nonOwnedCheck():
 		case <-ctx.Done():
@@ -311,6 +321,7 @@
 	if documents.Serial(book.Hosts) > 0 {
 		c.options.OnHosts(documents.Hosts())
 	}
+	c.settling = c.settling.with(documents, time.Now())
 	for _, stop := range c.update(documents) {
 		stop()
 	}
@@ -323,6 +334,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.assignOwners(documents)
+	c.settled = c.settling.settled()
 	var watched []Watched
 	for _, d := range c.roster.Databases() {
 		if !c.shouldServe(d.Name, time.Now()) {
@@ -367,7 +379,7 @@
 		delete(c.nonOwned, name)
 		nonOwner = false
 	}
-	return nonOwner || c.isOwner(name)
+	return nonOwner || c.settled && c.isOwner(name)
 }
 
 // ensure returns the controller of a database, started if needed, with its members and
--- a/internal/ctrl/controllers_test.go
+++ b/internal/ctrl/controllers_test.go
@@ -57,7 +57,7 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	documents, stopBooks := ctrl.NewDocuments(ctrl.DocumentsOptions{
 		Host: "h", Store: kv, Log: log, Guard: guard.New(log, prometheus.NewRegistry(), nil), Broadcaster: noBroadcast{},
-		LastHeard: time.Now, WatchAlways: true, Retry: time.Millisecond,
+		LastHeard: time.Now, WatchersPerRegion: 100, Retry: time.Millisecond,
 	})
 	t.Cleanup(stopBooks)
 	return documents, kv
--- a/internal/ctrl/documents.go
+++ b/internal/ctrl/documents.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -30,10 +32,17 @@
 	Broadcaster Broadcaster
 	// LastHeard returns the time at which any peer was last heard from.
 	LastHeard func() time.Time
-	// WatchAlways is set if every proxy watches the store for itself. Documents are then
-	// not sent to proxies that did not ask for them.
-	WatchAlways bool
-	// Retry is the pause after an error of the store.
+	// WatchersPerRegion is the number of proxies in each region that watch the store. The
+	// others receive documents from peers.
+	WatchersPerRegion int
+	// FirstWait is how long a proxy that starts waits for its peers' documents before it
+	// reads those that it lacks from the store.
+	FirstWait time.Duration
+	// MaxStoreAge is the time since the last answer of the store to any proxy after which
+	// this one reads the store itself. If it is 0, the answers to others do not matter.
+	MaxStoreAge time.Duration
+	// Retry is the pause after an error of the store. It doubles with each further error,
+	// up to maxRetryFactor times.
 	Retry time.Duration
 	// ChangePause is the pause after a document of a kind changed, so that changes in
 	// quick succession, such as those of hosts that start together, are read together.
@@ -46,12 +55,17 @@
 	options DocumentsOptions
 	current *duty.Cell[book.DocumentSet]
 	docs    *duty.Ring[book.Doc]
+	// storeAnswered is the time of the last answer of the store that is known.
+	storeAnswered atomic.Pointer[time.Time]
 }
 
 const (
 	documentQueue = 64
-	// storeWatchersPerRegion is the number of proxies in each region that watch the store.
-	storeWatchersPerRegion = 3
+	// maxRetryFactor limits the pause between calls to a store that fails, so that it is
+	// noticed soon after it recovers.
+	maxRetryFactor = 4
+	// unknownAge is the age of the store's last answer if none is known.
+	unknownAge = time.Hour
 )
 
 // NewDocuments starts the background tasks and returns the documents with their clean-up
@@ -111,36 +125,101 @@
 	})
 	d.current.Store(next)
 	d.options.Log.Emit(appliedEvents[doc.Kind], event.Fields{"Kind": doc.Kind, "Serial": doc.Serial})
-	if !d.options.WatchAlways {
-		d.options.Broadcaster.Spread(doc)
+	d.options.Broadcaster.Spread(doc)
+}
+
+// StoreAge returns the time since the store's last answer to this proxy or, as far as it
+// has learned, to another one.
+func (d *Documents) StoreAge() time.Duration {
+	answered := d.storeAnswered.Load()
+	if answered == nil {
+		return unknownAge
 	}
+	return time.Since(*answered)
 }
 
+// TakeStoreAge handles the age that a peer knows.
+func (d *Documents) TakeStoreAge(age time.Duration) {
+	if age < d.StoreAge() {
+		d.recordStoreAnswer(time.Now().Add(-age))
+	}
+}
+
+func (d *Documents) recordStoreAnswer(at time.Time) { d.storeAnswered.Store(&at) }
+
 // watch is the background task that follows one document in the store. A proxy that is not
 // one of the store's watchers and receives the document from peers reads the store only
 // occasionally.
 func (d *Documents) watch(ctx context.Context, kind book.Kind) error {
+	if kind != book.Hosts {
+		d.awaitListed(ctx)
+	}
+	firstRead := time.Now().Add(d.options.FirstWait)
 	var seen store.Version
+	retry := d.options.Retry
 	for ctx.Err() == nil {
-		if !d.watchesStore(kind) && !d.awaitNextCheck(ctx) {
+		if !d.watchesStore(kind) && !d.awaitNextCheck(ctx, kind, firstRead) {
 			continue
 		}
 		object, err := d.options.Store.Watch(ctx, string(kind), seen)
 		var unchanged *store.UnchangedError
+		var missing *store.MissingError
 		switch {
-		case err == nil:
-			seen = object.Version
-			d.receiveObject(kind, object)
-			duty.Pause(ctx, d.options.ChangePause[kind])
-		case errors.As(err, &unchanged) || ctx.Err() != nil:
+		case err == nil || errors.As(err, &unchanged):
+			retry = d.options.Retry
+			if kind == book.Sheet {
+				d.recordStoreAnswer(time.Now())
+			}
+			if err == nil {
+				seen = object.Version
+				d.receiveObject(kind, object)
+				duty.Pause(ctx, d.options.ChangePause[kind])
+			}
+		case ctx.Err() != nil:
 		default:
 			d.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "watch", "Kind": kind, "Cause": err.Error()})
-			duty.Pause(ctx, d.options.Retry)
+			duty.Pause(ctx, retry)
+			if !errors.As(err, &missing) {
+				retry = min(2*retry, maxRetryFactor*d.options.Retry)
+			}
 		}
 	}
 	return nil
 }
 
+// awaitListed waits until the list of hosts contains this proxy, for at most FirstWait.
+// Before that the proxy cannot tell whether it is one of the store's watchers.
+func (d *Documents) awaitListed(ctx context.Context) {
+	d.await(ctx, d.options.FirstWait, func(b book.DocumentSet) bool {
+		return slices.ContainsFunc(b.Hosts(), func(h book.Host) bool { return h.Name == d.options.Host })
+	})
+}
+
+// HostListed waits for the list of hosts, for at most FirstWait, and reports whether it
+// has exactly the given entry.
+func (d *Documents) HostListed(ctx context.Context, host book.Host) bool {
+	d.await(ctx, d.options.FirstWait, func(b book.DocumentSet) bool { return b.Serial(book.Hosts) > 0 })
+	return slices.Contains(d.Book().Hosts(), host)
+}
+
+// await waits until the documents fulfil a condition, for at most the given time.
+func (d *Documents) await(ctx context.Context, limit time.Duration, fulfilled func(book.DocumentSet) bool) {
+	timeout := time.After(limit)
+	for {
+		documents, changed := d.Watch()
+		if fulfilled(documents) {
+			return
+		}
+		select {
+		case <-changed:
+		case <-timeout:
+			return
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (d *Documents) receiveObject(kind book.Kind, object store.Object) {
 	doc, err := book.ParseDoc(kind, object.Value)
 	if err != nil {
@@ -154,18 +233,17 @@
 // watchers in each region, a document crosses the link between regions once or twice only,
 // and a partitioned region does not delay the others.
 func (d *Documents) watchesStore(kind book.Kind) bool {
-	if d.options.WatchAlways {
+	documents := d.Book()
+	if documents.Serial(kind) == 0 && d.options.FirstWait == 0 {
 		return true
 	}
-	documents := d.Book()
 	var hosts []string
 	for _, h := range documents.Hosts() {
 		if h.Region == d.options.Region && !h.Draining {
 			hosts = append(hosts, h.Name)
 		}
 	}
-	position := pick.Index("watch/"+string(kind), d.options.Host, hosts)
-	return documents.Serial(kind) == 0 || position < storeWatchersPerRegion
+	return pick.Index("watch/"+string(kind), d.options.Host, hosts) < d.options.WatchersPerRegion
 }
 
 const (
@@ -178,21 +256,35 @@
 )
 
 // awaitNextCheck waits until the store is to be read. It returns false if the caller has
-// to decide again, because the documents have changed or the context has ended.
-func (d *Documents) awaitNextCheck(ctx context.Context) bool {
+// to decide again, because the documents have changed or the context has ended. firstRead
+// is when a document that is still missing is read.
+func (d *Documents) awaitNextCheck(ctx context.Context, kind book.Kind, firstRead time.Time) bool {
 	start := time.Now()
-	_, changed := d.Watch()
+	documents, changed := d.Watch()
 	for time.Since(start) < checkPeriod {
+		pause := peerTimeout
+		if documents.Serial(kind) == 0 {
+			if pause = time.Until(firstRead); pause <= 0 {
+				return true
+			}
+		}
 		select {
-		case <-time.After(peerTimeout):
+		case <-time.After(pause):
 		case <-changed:
 			return false
 		case <-ctx.Done():
 			return false
 		}
-		if time.Since(d.options.LastHeard()) > peerTimeout {
+		if documents.Serial(kind) > 0 && (time.Since(d.options.LastHeard()) > peerTimeout || d.storeAgeExceeded(time.Since(start))) {
 			return true
 		}
 	}
 	return true
 }
+
+// storeAgeExceeded reports whether the watchers may have lost the store. Since the last
+// check by this proxy, half of MaxStoreAge must have passed.
+func (d *Documents) storeAgeExceeded(sinceCheck time.Duration) bool {
+	limit := d.options.MaxStoreAge
+	return limit > 0 && sinceCheck >= limit/2 && d.StoreAge() > limit
+}
--- a/internal/ctrl/gossip_test.go
+++ b/internal/ctrl/gossip_test.go
@@ -43,25 +43,52 @@
 	host      book.Host
 	documents *ctrl.Documents
 	stop      func()
+	// watches counts the calls for the sheet, and refused is set while the store refuses them.
+	watches atomic.Int64
+	refused atomic.Bool
 }
 
 func newGossipCluster(count int) (*gossipCluster, func()) {
+	s, cleanUp := newGossipNodes(count, 3, 0)
+	// The first documents are written once all proxies exist to receive them.
+	s.putLists()
+	return s, cleanUp
+}
+
+// putLists writes the list of hosts and an empty list of databases.
+func (s *gossipCluster) putLists() {
+	s.put(book.Hosts, book.HostsDoc{Serial: 1, Hosts: s.hosts})
+	s.put(book.Databases, book.DatabasesDoc{Serial: 1})
+}
+
+// newRestartedFleet returns a cluster whose documents are in the store before any proxy
+// starts, as after a power loss of all hosts.
+func newRestartedFleet(count int) (*gossipCluster, func()) {
+	return newGossipNodes(count, 9, time.Second)
+}
+
+// newGossipNodes starts count proxies, of which the given number in each region watches the
+// store. If firstWait is not 0, the documents are written before the proxies start.
+func newGossipNodes(count, watchers int, firstWait time.Duration) (*gossipCluster, func()) {
 	s := &gossipCluster{store: labkv.New()}
 	for i := range count {
 		s.hosts = append(s.hosts, book.Host{Name: fmt.Sprintf("p%d", i), Region: regionOf(i, count)})
 	}
+	if firstWait > 0 {
+		s.putLists()
+		s.load(1)
+	}
 	log, stopLog := event.New(io.Discard)
 	for _, h := range s.hosts {
 		n := &gossipNode{net: s, host: h}
 		n.documents, n.stop = ctrl.NewDocuments(ctrl.DocumentsOptions{
 			Host: h.Name, Region: h.Region, Store: n, Log: log,
 			Guard: guard.New(log, prometheus.NewRegistry(), func(p guard.Invariant) { panic(p) }), Broadcaster: n, LastHeard: n.lastHeard, Retry: 500 * time.Millisecond,
+			WatchersPerRegion: watchers, FirstWait: firstWait, MaxStoreAge: 2 * watchTime,
+			ChangePause: map[book.Kind]time.Duration{book.Hosts: firstWait / 2},
 		})
 		s.nodes = append(s.nodes, n)
 	}
-	// The first documents are written once all proxies exist to receive them.
-	s.put(book.Hosts, book.HostsDoc{Serial: 1, Hosts: s.hosts})
-	s.put(book.Databases, book.DatabasesDoc{Serial: 1})
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
 	go func() {
@@ -110,17 +137,22 @@
 	return nil
 }
 
+// send delivers a document after it was offered, fetched and sent.
 func (s *gossipCluster) send(from, to *gossipNode, doc book.Doc) {
 	if !s.cut(from.host.Region, to.host.Region) {
-		time.AfterFunc(s.delay(from.host.Region, to.host.Region), func() { to.documents.Receive(doc) })
+		time.AfterFunc(3*s.delay(from.host.Region, to.host.Region), func() { to.documents.Receive(doc) })
 	}
 }
 
-// heartbeat sends each proxy's targets a sheet that is newer than theirs, as heartbeats do.
+// heartbeat sends each proxy's targets a sheet that is newer than theirs, and the age of the
+// store's last answer, as heartbeats do.
 func (s *gossipCluster) heartbeat() {
 	for _, n := range s.nodes {
 		for _, name := range peer.GossipTargets(n.host.Name, n.host.Region, s.others(n), book.Doc{}) {
 			to := s.node(name)
+			if !s.cut(n.host.Region, to.host.Region) {
+				to.documents.TakeStoreAge(n.documents.StoreAge())
+			}
 			if doc, found := n.documents.Book().Doc(book.Sheet); found && doc.Serial > to.documents.Book().Serial(book.Sheet) {
 				s.send(n, to, doc)
 			}
@@ -161,6 +193,12 @@
 // Watch implements store.Store, with the time-out of a watch call.
 func (n *gossipNode) Watch(ctx context.Context, key string, seen store.Version) (store.Object, error) {
 	n.net.calls.Add(1)
+	if key == string(book.Sheet) {
+		n.watches.Add(1)
+		if n.refused.Load() {
+			return store.Object{}, &store.StatusError{Op: "watch", Key: key, Status: 503}
+		}
+	}
 	ctx, cancel := context.WithTimeout(ctx, watchTime)
 	defer cancel()
 	if n.net.cut(n.host.Region, storeRegion) {
@@ -170,6 +208,11 @@
 	pause(ctx, n.net.delay(n.host.Region, storeRegion))
 	o, err := n.net.store.Watch(ctx, key, seen)
 	time.Sleep(n.net.delay(n.host.Region, storeRegion))
+	if n.net.cut(n.host.Region, storeRegion) {
+		// The answer to a call that was sent before the partition does not arrive.
+		<-ctx.Done()
+		return store.Object{}, ctx.Err()
+	}
 	return o, err
 }
 
@@ -256,6 +299,40 @@
 	})
 }
 
+// TestFleetThatRestartsReadsTheStoreThroughFewProxies starts 300 proxies at once, as after a
+// power loss. If each of them reads and watches every document in the store, the calls grow
+// with the fleet, and the store refuses those beyond its rate.
+func TestFleetThatRestartsReadsTheStoreThroughFewProxies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		const fleet = 300
+		s, cleanUp := newRestartedFleet(fleet)
+		defer cleanUp()
+		g.Expect(s.inForce(1)).To(BeNumerically("<=", sheetTarget))
+		time.Sleep(10 * time.Second)
+		// Each proxy reads the list of hosts once. The other calls are those of the watchers.
+		g.Expect(s.calls.Load()).To(BeNumerically("<=", fleet+100))
+		s.load(2)
+		g.Expect(s.inForce(2)).To(BeNumerically("<=", sheetTarget))
+	})
+}
+
+// TestStoreThatTurnsItsWatchersAwayIsReadByOthers guards against a sheet that no proxy takes
+// because the store refuses exactly those proxies that watch it.
+func TestStoreThatTurnsItsWatchersAwayIsReadByOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		s, cleanUp := newRestartedFleet(60)
+		defer cleanUp()
+		g.Expect(s.inForce(1)).To(BeNumerically("<=", sheetTarget))
+		for _, n := range s.nodes {
+			n.refused.Store(n.watches.Load() > 0)
+		}
+		s.load(2)
+		g.Expect(s.inForce(2)).To(BeNumerically("<=", 4*watchTime))
+	})
+}
+
 // BenchmarkSheetSpread measures the time until a sheet is in force on every proxy, and the
 // calls to the store in a minute. Times are virtual.
 func BenchmarkSheetSpread(b *testing.B) {
--- a/internal/ctrl/register.go
+++ b/internal/ctrl/register.go
@@ -18,9 +18,13 @@
 const registerTimeout = 2 * time.Second
 
 // Register adds a host to the list of hosts in the store, and retries until it succeeds.
-// It is for platforms on which hosts register themselves.
-func Register(s store.Store, log *event.Log, host book.Host, retry time.Duration) func() {
+// It is for platforms on which hosts register themselves. listed reports whether the list
+// already has this entry, as it does after a restart; it may wait for the list.
+func Register(s store.Store, log *event.Log, host book.Host, retry time.Duration, listed func(context.Context, book.Host) bool) func() {
 	return duty.Run(func(ctx context.Context) error {
+		if listed(ctx, host) {
+			return nil
+		}
 		for ctx.Err() == nil {
 			err := register(ctx, s, host)
 			if err == nil {
--- /dev/null
+++ b/internal/peer/docs.go
@@ -0,0 +1,163 @@
+package peer
+
+import (
+	"bytes"
+	"compress/flate"
+	"fmt"
+	"io"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/duty"
+	"poplarrouter.example/poplarrouter/internal/event"
+)
+
+// Offer reports that the sender holds a document. A peer whose own one is older fetches it.
+// Documents are offered and not sent, because a proxy receives the same offer from several
+// peers.
+type Offer struct {
+	Kind   book.Kind
+	Serial uint64
+}
+
+// Fetch requests the document of a kind.
+type Fetch struct {
+	Kind book.Kind
+}
+
+// DocFrame is a document in transit.
+type DocFrame struct {
+	Kind   book.Kind
+	Serial uint64
+	// Deflated is the body of the document, compressed with DEFLATE.
+	Deflated []byte `msgpack:"Body"`
+}
+
+// NewDocFrame returns the frame of a document.
+func NewDocFrame(doc book.Doc) (DocFrame, error) {
+	var buffer bytes.Buffer
+	w, err := flate.NewWriter(&buffer, flate.DefaultCompression)
+	if err != nil {
+		return DocFrame{}, err
+	}
+	if _, err := w.Write(doc.Body); err != nil {
+		return DocFrame{}, err
+	}
+	if err := w.Close(); err != nil {
+		return DocFrame{}, err
+	}
+	return DocFrame{Kind: doc.Kind, Serial: doc.Serial, Deflated: buffer.Bytes()}, nil
+}
+
+// Doc returns the document. It returns a *FrameError if the body is not valid DEFLATE data
+// or is larger than MaxFrame bytes.
+func (f DocFrame) Doc() (book.Doc, error) {
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(f.Deflated)), MaxFrame+1))
+	if err != nil {
+		return book.Doc{}, &FrameError{Got: err.Error(), Want: "a compressed document"}
+	}
+	if len(body) > MaxFrame {
+		return book.Doc{}, &FrameError{Got: fmt.Sprintf("a document of more than %d bytes", MaxFrame), Want: "a smaller one"}
+	}
+	return book.Doc{Kind: f.Kind, Serial: f.Serial, Body: body}, nil
+}
+
+// fetchTimeout is how long a proxy waits for a document before it fetches it from another
+// peer.
+const fetchTimeout = time.Second
+
+// transfers records the documents in transit. A document is fetched from one peer at a
+// time. It is not safe for concurrent use.
+type transfers struct {
+	// fetchedAt is the time of the last fetch of a kind that was not answered yet, and
+	// received is the serial of the last answer.
+	fetchedAt map[book.Kind]time.Time
+	received  map[book.Kind]uint64
+	// frames are the documents that were sent last.
+	frames map[book.Kind]DocFrame
+}
+
+func newTransfers() transfers {
+	return transfers{fetchedAt: make(map[book.Kind]time.Time), received: make(map[book.Kind]uint64), frames: make(map[book.Kind]DocFrame)}
+}
+
+// begin reports whether an offered document is to be fetched now.
+func (t transfers) begin(o Offer, now time.Time) bool {
+	at, fetching := t.fetchedAt[o.Kind]
+	if o.Serial <= t.received[o.Kind] || fetching && now.Sub(at) < fetchTimeout {
+		return false
+	}
+	t.fetchedAt[o.Kind] = now
+	return true
+}
+
+// end records that a document was received.
+func (t transfers) end(f DocFrame) {
+	delete(t.fetchedAt, f.Kind)
+	t.received[f.Kind] = max(t.received[f.Kind], f.Serial)
+}
+
+// answerHeartbeat offers the peer the documents of which it has no copy or an older one, and
+// fetches those of which it has a newer one.
+func (m *Connections) answerHeartbeat(b Heartbeat, answers *duty.Ring[Frame]) {
+	local := m.handler.DocumentSet()
+	for _, kind := range book.Kinds() {
+		if serial := local.Serial(kind); serial > b.Serial(kind) {
+			answers.Offer(Frame{Offer: &Offer{Kind: kind, Serial: serial}})
+		} else {
+			m.takeOffer(Offer{Kind: kind, Serial: b.Serial(kind)}, answers)
+		}
+	}
+}
+
+// takeOffer fetches an offered document that is newer than the local one.
+func (m *Connections) takeOffer(o Offer, answers *duty.Ring[Frame]) {
+	if o.Serial <= m.handler.DocumentSet().Serial(o.Kind) {
+		return
+	}
+	m.mu.Lock()
+	fetch := m.transfers.begin(o, time.Now())
+	m.mu.Unlock()
+	if fetch {
+		answers.Offer(Frame{Fetch: &Fetch{Kind: o.Kind}})
+	}
+}
+
+// answerFetch sends the local document of a kind.
+func (m *Connections) answerFetch(f Fetch, answers *duty.Ring[Frame]) {
+	doc, found := m.handler.DocumentSet().Doc(f.Kind)
+	if !found {
+		return
+	}
+	m.mu.Lock()
+	frame := m.transfers.frames[f.Kind]
+	m.mu.Unlock()
+	if frame.Serial != doc.Serial {
+		var err error
+		if frame, err = NewDocFrame(doc); err != nil {
+			m.logMalformed(f.Kind, doc.Serial, err)
+			return
+		}
+		m.mu.Lock()
+		m.transfers.frames[f.Kind] = frame
+		m.mu.Unlock()
+	}
+	answers.Offer(Frame{Doc: &frame})
+}
+
+func (m *Connections) logMalformed(kind book.Kind, serial uint64, cause error) {
+	m.options.Log.Emit(event.SheetRefused, event.Fields{"Kind": kind, "Serial": serial, "Cause": cause.Error()})
+}
+
+// takeDoc passes on a received document.
+func (m *Connections) takeDoc(f DocFrame) {
+	doc, err := f.Doc()
+	if err != nil {
+		m.logMalformed(f.Kind, f.Serial, err)
+		return
+	}
+	m.mu.Lock()
+	m.transfers.end(f)
+	m.mu.Unlock()
+	m.handler.HandleDoc(doc)
+}
--- /dev/null
+++ b/internal/peer/docs_test.go
@@ -0,0 +1,93 @@
+package peer_test
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/meter"
+	"poplarrouter.example/poplarrouter/internal/peer"
+)
+
+// received returns the bytes that a proxy received from its peers.
+func received(g *WithT, registry *prometheus.Registry) float64 {
+	families, err := registry.Gather()
+	g.Expect(err).NotTo(HaveOccurred())
+	sum := 0.0
+	for _, family := range families {
+		for _, metric := range family.GetMetric() {
+			for _, label := range metric.GetLabel() {
+				if label.GetName() == "direction" && label.GetValue() == "received" {
+					sum += metric.GetCounter().GetValue()
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// TestFleetThatRestartsSendsADocumentOnceToEachProxy has a proxy that starts without
+// documents connect to eight peers that all hold the list of hosts. Proxies that each
+// receive the list from all of their peers exchange more bytes the larger the list is and
+// the more of them start, until their links are saturated.
+func TestFleetThatRestartsSendsADocumentOnceToEachProxy(t *testing.T) {
+	g := NewWithT(t)
+	const size = 100_000
+	body := []byte(fmt.Sprintf(`{"Serial":7,"Filler":"%s"}`, incompressible(size)))
+	registry := prometheus.NewRegistry()
+	log, stopLog := event.New(io.Discard)
+	t.Cleanup(stopLog)
+	starting, cleanUp, err := peer.New(peer.Options{
+		Host: "starting", Region: "r", Secret: "a shared secret", HeartbeatInterval: heartbeatInterval, Timeout: time.Second, Log: log, Meter: meter.New(registry),
+	}, "127.0.0.1:0")
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(cleanUp)
+	var hosts []book.Host
+	for i := range 8 {
+		name := fmt.Sprint("holder-", i)
+		holder := newConnections(t, name, "a shared secret")
+		r := &recorder{}
+		r.HandleDoc(book.Doc{Kind: book.Hosts, Serial: 7, Body: body})
+		t.Cleanup(holder.Start(r))
+		hosts = append(hosts, book.Host{Name: name, PeerAddress: holder.Address()})
+	}
+	starting.SetHosts(hosts)
+	empty := &recorder{}
+	t.Cleanup(starting.Start(empty))
+	g.Eventually(func() uint64 { return empty.DocumentSet().Serial(book.Hosts) }).Should(BeEquivalentTo(7))
+	time.Sleep(10 * heartbeatInterval)
+	g.Expect(received(g, registry)).To(BeNumerically("<", 1.5*size))
+}
+
+// incompressible returns a text of the given length with little redundancy.
+func incompressible(length int) string {
+	rng := rand.New(rand.NewPCG(1, 2)) //nolint:gosec // a filler
+	text := make([]byte, length)
+	for i := range text {
+		text[i] = byte('0' + rng.IntN(75))
+		if text[i] == '\\' {
+			text[i] = '0'
+		}
+	}
+	return string(text)
+}
+
+// TestProxyWithAnOlderDocumentFetchesItFromTheOneThatConnects has the proxy with the newer
+// document open the connection, so that the other one learns of it from a heartbeat.
+func TestProxyWithAnOlderDocumentFetchesItFromTheOneThatConnects(t *testing.T) {
+	g := NewWithT(t)
+	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "a shared secret")
+	holder, empty := &recorder{}, &recorder{}
+	holder.HandleDoc(hostsDoc())
+	one.SetHosts([]book.Host{{Name: "two", PeerAddress: two.Address()}})
+	t.Cleanup(one.Start(holder))
+	t.Cleanup(two.Start(empty))
+	g.Eventually(func() uint64 { return empty.DocumentSet().Serial(book.Hosts) }).Should(BeEquivalentTo(7))
+}
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -1,5 +1,5 @@
 // Package peer implements the authenticated connections between proxies. They carry
-// heartbeats with the serials of documents, the documents themselves, vote requests
+// heartbeats with the serials of documents, offers and fetches of documents, vote requests
 // about a suspected primary and the votes, permit requests for the slots of members,
 // and cancel requests that arrived at another proxy.
 //
@@ -16,6 +16,7 @@
 	"encoding/binary"
 	"fmt"
 	"io"
+	"math"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -46,7 +47,9 @@
 	// ConnectionDemand is the number of connections that a proxy needs to each member,
 	// by the member's name. It is sent with a heartbeat.
 	ConnectionDemand map[string]int  `msgpack:"Wants,omitempty"`
-	Doc              *book.Doc       `msgpack:",omitempty"`
+	Offer            *Offer          `msgpack:",omitempty"`
+	Fetch            *Fetch          `msgpack:",omitempty"`
+	Doc              *DocFrame       `msgpack:",omitempty"`
 	VoteRequest      *VoteRequest    `msgpack:"Ask,omitempty"`
 	Vote             *VoteFrame      `msgpack:",omitempty"`
 	Cancel           *Cancel         `msgpack:",omitempty"`
@@ -142,13 +145,21 @@
 	Sheet     uint64
 	Databases uint64
 	Hosts     uint64
+	// StoreAgeMs is the time in milliseconds since the store answered the sender, or a
+	// proxy from which the sender learned this.
+	StoreAgeMs uint32
 }
 
-// NewHeartbeat returns the heartbeat of a proxy that holds a set of documents.
-func NewHeartbeat(b book.DocumentSet) Heartbeat {
-	return Heartbeat{Sheet: b.Serial(book.Sheet), Databases: b.Serial(book.Databases), Hosts: b.Serial(book.Hosts)}
+// NewHeartbeat returns the heartbeat of a proxy that holds a set of documents, given the
+// time since the store's last known answer.
+func NewHeartbeat(b book.DocumentSet, storeAge time.Duration) Heartbeat {
+	age := uint32(min(storeAge.Milliseconds(), math.MaxUint32)) //nolint:gosec // an age is not negative
+	return Heartbeat{Sheet: b.Serial(book.Sheet), Databases: b.Serial(book.Databases), Hosts: b.Serial(book.Hosts), StoreAgeMs: age}
 }
 
+// StoreAge returns the time since the store's last answer that the sender knows of.
+func (b Heartbeat) StoreAge() time.Duration { return time.Duration(b.StoreAgeMs) * time.Millisecond }
+
 // Serial returns the serial of the document of a kind, or 0 if the sender has none.
 func (b Heartbeat) Serial(kind book.Kind) uint64 {
 	switch kind {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -20,6 +20,10 @@
 	HandleDoc(doc book.Doc)
 	// DocumentSet returns the documents that this proxy holds.
 	DocumentSet() book.DocumentSet
+	// StoreAge returns the time since the last answer of the store that this proxy knows
+	// of, and TakeStoreAge handles that of a peer.
+	StoreAge() time.Duration
+	TakeStoreAge(age time.Duration)
 	// SuspectsPrimary reports whether the primary of a term is unresponsive to this
 	// proxy.
 	SuspectsPrimary(database string, term group.Term) bool
@@ -95,6 +99,7 @@
 	inbound      map[net.Conn]struct{}
 	received     map[string]time.Time
 	lastReceived time.Time
+	transfers    transfers
 	accepted     duty.Group
 	closed       bool
 }
@@ -119,6 +124,8 @@
 		links:    make(map[string]*link),
 		inbound:  make(map[net.Conn]struct{}),
 		received: make(map[string]time.Time),
+
+		transfers: newTransfers(),
 	}
 	return m, m.close, nil
 }
@@ -251,9 +258,14 @@
 		if f.ConnectionDemand != nil {
 			m.handler.TakeWants(host, f.ConnectionDemand)
 		}
+		m.handler.TakeStoreAge(f.Heartbeat.StoreAge())
 		m.answerHeartbeat(*f.Heartbeat, answers)
+	case f.Offer != nil:
+		m.takeOffer(*f.Offer, answers)
+	case f.Fetch != nil:
+		m.answerFetch(*f.Fetch, answers)
 	case f.Doc != nil:
-		m.handler.HandleDoc(*f.Doc)
+		m.takeDoc(*f.Doc)
 	case f.VoteRequest != nil:
 		vote := elect.Vote{From: m.options.Host, Term: f.VoteRequest.Term, Down: m.handler.SuspectsPrimary(f.VoteRequest.Database, f.VoteRequest.Term)}
 		answers.Offer(Frame{Vote: &VoteFrame{Database: f.VoteRequest.Database, Vote: vote}})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -54,6 +54,8 @@
 
 func (r *recorder) SuspectsPrimary(string, group.Term) bool { return true }
 func (r *recorder) Cancel(uint32, []byte)                   {}
+func (r *recorder) StoreAge() time.Duration                 { return 0 }
+func (r *recorder) TakeStoreAge(time.Duration)              {}
 func (r *recorder) Partners() []string                      { return nil }
 
 func (r *recorder) ServeRelay(context.Context, net.Conn, string) error { return nil }
@@ -137,10 +139,16 @@
 }
 
 func FuzzDecode(f *testing.F) {
-	doc := hostsDoc()
+	doc, err := peer.NewDocFrame(hostsDoc())
+	if err != nil {
+		f.Fatal(err)
+	}
 	for _, frame := range []peer.Frame{
 		{Heartbeat: &peer.Heartbeat{Sheet: 3}},
 		{Doc: &doc},
+		{Doc: &peer.DocFrame{Kind: book.Hosts, Serial: 8, Deflated: []byte("not compressed")}},
+		{Offer: &peer.Offer{Kind: book.Sheet, Serial: 9}},
+		{Fetch: &peer.Fetch{Kind: book.Sheet}},
 		{Vote: &peer.VoteFrame{Database: "stock", Vote: elect.Vote{From: "one", Term: 2}}},
 	} {
 		raw, err := peer.Encode(frame)
@@ -158,6 +166,9 @@
 		if _, err := peer.Encode(frame); err != nil {
 			t.Fatal("a decoded frame cannot be encoded:", err)
 		}
+		if frame.Doc != nil {
+			_, _ = frame.Doc.Doc()
+		}
 	})
 }
 
--- a/internal/peer/spread.go
+++ b/internal/peer/spread.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/book"
-	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/pick"
 )
 
@@ -22,11 +21,11 @@
 	return pick.First(m.options.Host, names, gossipPeers)
 }
 
-// Spread broadcasts a document: it sends it to the gossip peers in this proxy's region,
+// Spread broadcasts a document: it offers it to the gossip peers in this proxy's region,
 // and to a few proxies of each other region, which pass it on there.
 func (m *Connections) Spread(doc book.Doc) {
 	for _, host := range m.spreadTargets(doc) {
-		m.Send(host, Frame{Doc: &doc})
+		m.Send(host, Frame{Offer: &Offer{Kind: doc.Kind, Serial: doc.Serial}})
 	}
 }
 
@@ -90,7 +89,7 @@
 }
 
 func (m *Connections) heartbeat() Frame {
-	heartbeat := NewHeartbeat(m.handler.DocumentSet())
+	heartbeat := NewHeartbeat(m.handler.DocumentSet(), m.handler.StoreAge())
 	return Frame{Heartbeat: &heartbeat, ConnectionDemand: m.handler.Wants()}
 }
 
@@ -101,13 +100,3 @@
 	}
 	return m.options.Seeds
 }
-
-// answerHeartbeat sends the peer the documents of which it has no copy or an older one.
-func (m *Connections) answerHeartbeat(b Heartbeat, answers *duty.Ring[Frame]) {
-	local := m.handler.DocumentSet()
-	for _, kind := range book.Kinds() {
-		if doc, found := local.Doc(kind); found && doc.Serial > b.Serial(kind) {
-			answers.Offer(Frame{Doc: &doc})
-		}
-	}
-}
