Tell relaying hosts that a job which crosses the end of a planned stop has not run

A connection released after the drain notice also went back to the idle ones. Change: a stopping host announces on each idle relay connection that no unanswered job runs, closes its writing side and waits for the other side; a job that meets the notice goes to another owner as not run. Connections to a draining owner are not kept. Why the request chose the stopped host at all is not explained by the log that was kept.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -273,6 +273,7 @@
 // startMesh starts to receive frames from peers.
 func startMesh(lc fx.Lifecycle, mesh *peer.Connections, documents *ctrl.Documents, controllers *ctrl.Controllers, leases *gate.LeaseManager, f *front.Front, p *protocolParts) {
 	onStop(lc, mesh.Start(&handler{Documents: documents, Controllers: controllers, LeaseManager: leases, connectionDemand: p.demand, front: f}))
+	onStop(lc, f.CloseRelays)
 }
 
 // handler processes the frames of peers.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -10,6 +10,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,6 +72,8 @@
 	// draining when the front admits no further callers.
 	drainStarted atomic.Bool
 	draining     atomic.Bool
+	// relaysClosed is set when no further requests of other proxies run.
+	relaysClosed atomic.Bool
 
 	mu       sync.Mutex
 	sessions map[uint64]*Session
@@ -209,6 +212,28 @@
 	return sessions
 }
 
+// relayCloseTimeout is how long a proxy that stops waits for the others to close the
+// connections on which it has announced that it runs no further request.
+const relayCloseTimeout = 200 * time.Millisecond
+
+// CloseRelays ends the idle connections of other proxies. Each is told first that no
+// request which it has sent in the meantime runs, so that it can send that one elsewhere.
+// It must be called before the connections are closed in another way.
+func (f *Front) CloseRelays() {
+	f.relaysClosed.Store(true)
+	announced := make(map[*Session]bool)
+	for _, s := range f.list() {
+		if s.announceClose() {
+			announced[s] = true
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), relayCloseTimeout)
+	defer cancel()
+	for ctx.Err() == nil && slices.ContainsFunc(f.list(), func(s *Session) bool { return announced[s] }) {
+		duty.Pause(ctx, drainPollInterval)
+	}
+}
+
 func (f *Front) closeAll() {
 	for _, s := range f.list() {
 		_ = s.Close()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -32,6 +32,8 @@
 	// sendDrainNotice then notifies it that this proxy is draining.
 	relayed         bool
 	sendDrainNotice func()
+	// sendCloseNotice notifies the other proxy that this one runs no further request.
+	sendCloseNotice func()
 	// rank is that of the admission slot that the connection has taken, or 0.
 	rank sheet.Rank
 
@@ -221,6 +223,40 @@
 	}
 }
 
+// OnClose sets the function that notifies the other proxy that no further request of this
+// session runs. It is called once, when the proxy stops, unless a request is in flight, or
+// at once if the proxy is stopping.
+func (s *Session) OnClose(notice func()) {
+	s.mu.Lock()
+	s.sendCloseNotice = notice
+	s.mu.Unlock()
+	if s.front.relaysClosed.Load() {
+		s.announceClose()
+	}
+}
+
+// CloseWrite closes the writing side of the session's connection.
+func (s *Session) CloseWrite() {
+	if conn, ok := s.Conn.(interface{ CloseWrite() error }); ok {
+		_ = conn.CloseWrite()
+	}
+}
+
+// announceClose notifies the other proxy that this session runs no further request, and
+// reports whether it did.
+func (s *Session) announceClose() bool {
+	s.mu.Lock()
+	notice := s.sendCloseNotice
+	announce := s.relayed && !s.active && s.lease == nil && notice != nil
+	s.ending = s.ending || announce
+	s.sendCloseNotice = nil
+	s.mu.Unlock()
+	if announce {
+		notice()
+	}
+	return announce
+}
+
 // notifyDrain notifies the other proxy of a drain, unless it has been notified.
 func (s *Session) notifyDrain() {
 	s.mu.Lock()
--- a/internal/meter/meter.go
+++ b/internal/meter/meter.go
@@ -79,3 +79,12 @@
 	c.sent.Add(float64(n))
 	return n, err
 }
+
+// CloseWrite closes the writing side of a TCP connection, so that the other end receives
+// what was written before. Other connections are closed.
+func (c *countedConn) CloseWrite() error {
+	if conn, ok := c.Conn.(interface{ CloseWrite() error }); ok {
+		return conn.CloseWrite()
+	}
+	return c.Close()
+}
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -133,6 +133,43 @@
 	g.Expect(fault.FromError(err).Kind.Outcome()).To(Equal(fault.Unknown))
 }
 
+// TestJobSentWhileItsOwnerStopsIsNotRun guards against an unknown outcome for a job that
+// crosses the owner's notice that it closes the connection. The owner runs no job after
+// that notice.
+func TestJobSentWhileItsOwnerStopsIsNotRun(t *testing.T) {
+	g := NewWithT(t)
+	o := newFakeOwner(t)
+	conn, ownerEnd := o.open(t)
+	go func() {
+		var job relay.Job
+		_ = peer.DecodeInto(ownerEnd, jobBytes, &job)
+		raw, _ := peer.EncodeArray(relay.Outcome{Draining: true, Closing: true})
+		_, _ = ownerEnd.Write(raw)
+		_ = ownerEnd.Close()
+	}()
+	err := conn.Run(t.Context(), write())
+	g.Expect(fault.FromError(err).Kind).To(Equal(fault.Undispatched))
+	g.Expect(fault.FromError(err).Kind.Outcome()).To(Equal(fault.NotRun))
+}
+
+// TestConnectionToADrainingOwnerIsNotKept guards against sending a job over a connection
+// that ends when its owner stops: a connection that is released after the drain notice is
+// closed like those that were idle when it arrived.
+func TestConnectionToADrainingOwnerIsNotKept(t *testing.T) {
+	g := NewWithT(t)
+	o := newFakeOwner(t)
+	conn, ownerEnd := o.open(t)
+	go func() {
+		_, _ = answer(ownerEnd, relay.Outcome{Failed: true, Fault: fault.Leaving, Draining: true})
+	}()
+	err := conn.Run(t.Context(), write())
+	g.Expect(fault.FromError(err).Kind).To(Equal(fault.Leaving))
+	conn.Release(true)
+	next, err := o.client.Open(t.Context(), "owner")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(next).NotTo(BeIdenticalTo(conn))
+}
+
 // TestPartlyWrittenJobIsNotRun ends the connection while the job is written: the owner does
 // not run it, so that it may be sent to another owner.
 func TestPartlyWrittenJobIsNotRun(t *testing.T) {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,6 +23,8 @@
 	// has ended.
 	outcomes chan Outcome
 	ended    <-chan error
+	// closing is set once the owner has announced that it runs no further job.
+	closing atomic.Bool
 	// number is that of the last job.
 	number uint64
 	// disconnected is set when the connection has ended. The owner's lock guards it.
@@ -49,6 +52,9 @@
 		}
 		if o.Number == 0 && o.Draining {
 			c.owner.setDraining()
+			if o.Closing {
+				c.closing.Store(true)
+			}
 			continue
 		}
 		select {
@@ -79,6 +85,9 @@
 	}
 	select {
 	case o, open := <-c.outcomes:
+		if !open && c.closing.Load() {
+			return fault.New(fault.Undispatched, "relay", "proxy %s closed the connection before it ran the request", c.owner.host.Name)
+		}
 		if !open {
 			return fault.New(fault.Severed, "relay", "the connection to proxy %s ended before its answer", c.owner.host.Name)
 		}
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -52,11 +52,11 @@
 	return c
 }
 
-// put returns a connection to the idle ones. It closes one that is not clean, has ended or
-// exceeds maxIdle.
+// put returns a connection to the idle ones. It closes one that is not clean, has ended,
+// exceeds maxIdle or leads to a draining proxy.
 func (o *owner) put(c *ownerConn, clean bool) {
 	o.mu.Lock()
-	keep := clean && !o.closed && !c.disconnected && len(o.idle) < maxIdle
+	keep := clean && !o.closed && !c.disconnected && len(o.idle) < maxIdle && time.Now().After(o.drainingUntil)
 	if keep {
 		o.idle = append(o.idle, c)
 	}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -7,8 +7,8 @@
 // transaction is open. Successive transactions of a session may therefore run at
 // different owners.
 //
-// Invariants: a job that was written completely may have run, unless its outcome says
-// that it has not; a connection is closed if an outcome is missing on it; a transaction
+// Invariants: a job that was written completely may have run, unless its outcome or a
+// closing notice says that it has not; a connection is closed if an outcome is missing on it; a transaction
 // ends with the relay connection on which it was opened.
 package relay
 
@@ -59,6 +59,9 @@
 	// Draining is set once the proxy has started to drain. The notice is sent on connections
 	// without a job in flight, so that no job is sent over them when they end.
 	Draining bool
+	// Closing is set in the last message of a proxy that closes the connection. No job that
+	// it has not answered before has run or will run.
+	Closing bool
 }
 
 // maxBytes limits the size of an encoded job or outcome: the longest message of a caller
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -26,6 +26,11 @@
 		// If the notice cannot be sent, the answer to the next job still reports the drain.
 		_ = answer(s, Outcome{Draining: true})
 	})
+	s.OnClose(func() {
+		if answer(s, Outcome{Draining: true, Closing: true}) == nil {
+			s.CloseWrite()
+		}
+	})
 	for {
 		var job Job
 		if err := peer.DecodeInto(s, maxBytes, &job); err != nil {
