Count a member that has no capacity for a query as running

Cause: after a power loss of all hosts a member counts their former connections for 3 s and refuses new ones. A primary that missed one query and then answered that it is busy was suspected as well. Change: a refusal for lack of capacity is an input of the view. It ends the silence of a member, and while a member without a report gives such answers, it may be the primary.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -268,6 +268,10 @@
 		c.reportUnresponsive(v, in.Silence)
 	case in.Refusal != "":
 		c.reportUnresponsive(v, in.Refusal)
+	case in.Busy != nil:
+		if _, reported := v.Report(in.Busy.Member); reported {
+			c.reportReached(v, in.Busy.Member)
+		}
 	case in.Members != nil:
 		c.startPollers(in.Members)
 	default:
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -144,7 +144,11 @@
 		state, err = control.Ask(pollCtx, full)
 	}
 	var busy *member.BusyError
-	if ctx.Err() != nil || errors.As(err, &busy) {
+	if ctx.Err() != nil {
+		return
+	}
+	if errors.As(err, &busy) {
+		c.inputs.Offer(trace.Input{Busy: &view.Busy{Member: m.Name, At: asked}})
 		return
 	}
 	if err != nil {
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -79,7 +79,10 @@
 		return false
 	}
 	r, found := v.Primary()
-	return !found || v.Fence() > term || unresponsiveFor(v, r, now) >= rules.voteDownAfter(v, r.Member)
+	if !found {
+		return v.Fence() > term || !v.UnreportedBusySince(now.Add(-rules.VoteDownAfter))
+	}
+	return v.Fence() > term || unresponsiveFor(v, r, now) >= rules.voteDownAfter(v, r.Member)
 }
 
 // unresponsiveFor returns how long a member has not answered, or 0 if it answered the
@@ -192,7 +195,7 @@
 	if r, found := v.Primary(); found {
 		return unresponsiveFor(v, r, now) >= m.rules.suspectAfter(v, r.Member)
 	}
-	return now.Sub(m.startedAt) >= m.rules.SuspectAfter
+	return now.Sub(m.startedAt) >= m.rules.SuspectAfter && !v.UnreportedBusySince(now.Add(-m.rules.SuspectAfter))
 }
 
 func (m Machine) watch(now time.Time, v view.View) (Machine, []Action) {
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -89,6 +89,8 @@
 		r.view = r.view.WithReport(view.Report{Member: args[0], SentAt: now, ReceivedAt: now, State: s})
 	case "silent":
 		r.view = r.view.WithSilence(args[0])
+	case "busy":
+		r.view = r.view.WithBusy(view.Busy{Member: args[0], At: now})
 	case "refuses":
 		r.view = r.view.WithRefusal(args[0])
 	case "vote":
--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -30,6 +30,8 @@
 	Silence string `json:",omitempty"`
 	// Refusal names a member whose address refused a connection.
 	Refusal string `json:",omitempty"`
+	// Busy is the answer of a member that had no capacity for a query.
+	Busy *view.Busy `json:",omitempty"`
 	// Members is a new list of members.
 	Members []view.Member `json:",omitempty"`
 	// Voters is a new list of voters, in the order in which they may claim a term.
@@ -48,6 +50,9 @@
 	if i.Refusal != "" {
 		v = v.WithRefusal(i.Refusal)
 	}
+	if i.Busy != nil {
+		v = v.WithBusy(*i.Busy)
+	}
 	if i.Members != nil {
 		v = v.WithMembers(i.Members)
 	}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -49,6 +49,13 @@
 	State      group.State
 }
 
+// Busy is an answer of a member that had no capacity for a state query. It shows that the
+// member is running, but not its state.
+type Busy struct {
+	Member string
+	At     time.Time
+}
+
 // Point is a proof that the log of the database ended at or before Floor, and that no
 // other primary had acknowledged a write, when the query was sent at SentAt.
 type Point struct {
@@ -72,6 +79,8 @@
 	silent  map[string]bool
 	// refusing holds the silent members whose address refuses connections.
 	refusing map[string]bool
+	// busyAt is when a member last answered that it had no capacity for a query.
+	busyAt map[string]time.Time
 	points   []Point
 	// observed are positions of the primary that are not proven yet.
 	observed observations
@@ -154,6 +163,25 @@
 	return v.withRefusing(member, false)
 }
 
+// WithBusy returns the view after a member had no capacity for a query. A member that was
+// silent has answered again.
+func (v View) WithBusy(b Busy) View {
+	v.busyAt = cloneWith(v.busyAt, b.Member, b.At)
+	if v.silent[b.Member] {
+		v.silent = cloneWith(v.silent, b.Member, false)
+	}
+	return v.withRefusing(b.Member, false)
+}
+
+// UnreportedBusySince reports whether a member whose state is unknown has answered since
+// the given time that it had no capacity for a query. It may be the primary.
+func (v View) UnreportedBusySince(since time.Time) bool {
+	return slices.ContainsFunc(v.members, func(m Member) bool {
+		_, reported := v.reports[m.Name]
+		return !reported && v.busyAt[m.Name].After(since)
+	})
+}
+
 // WithRefusal returns the view after a member's address refused a connection.
 func (v View) WithRefusal(member string) View {
 	return v.WithSilence(member).withRefusing(member, true)
