Let hosts far from a member have more statements in flight, share by usual demand

Hosts beside the members kept connections for their highest peak in a second. Change: three times as many statements in flight at members of another region; the demand is what arrivals find on average and one deviation. Both tests red before.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -90,7 +90,7 @@
 	onStop(lc, closePromoter)
 	onStop(lc, ctrl.Register(st, log, hostOf(s, mesh.Address()), storeRetry, l.hostListed))
 	shares := share.New(share.Options{
-		Host: s.Host, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
+		Host: s.Host, Region: s.Region, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
 	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts})
 	onStop(lc, closeRelays)
--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -1,6 +1,7 @@
 package share
 
 import (
+	"math"
 	"sync"
 	"time"
 )
@@ -18,9 +19,8 @@
 // demands holds the demand of each proxy at each member.
 type demands struct {
 	mu sync.Mutex
-	// local is, by member, the most work of this proxy that was at the member or waited
-	// for it since the last heartbeat.
-	local map[string]int
+	// local is, by member, the work of this proxy since the last heartbeat.
+	local map[string]load
 	// reported is the demand in the last heartbeat.
 	reported map[string]int
 	// others is the last report of each other proxy.
@@ -29,6 +29,20 @@
 	started time.Time
 }
 
+// load is the work that arrivals found at a member or waiting for it.
+type load struct{ found, arrivals int }
+
+// demand returns how much work the member is to have capacity for: the arriving work, what it
+// finds on average, and one standard deviation of a Poisson distribution with that mean. A
+// brief peak does not keep connections from other proxies.
+func (l load) demand() int {
+	if l.arrivals == 0 {
+		return 0
+	}
+	mean := float64(l.found) / float64(l.arrivals)
+	return 1 + int(math.Round(mean+math.Sqrt(mean)))
+}
+
 // report is the demand by member that another proxy reported.
 type report struct {
 	demand   map[string]int
@@ -36,14 +50,15 @@
 }
 
 func newDemands(now time.Time) *demands {
-	return &demands{started: now, local: make(map[string]int), reported: make(map[string]int), others: make(map[string]report)}
+	return &demands{started: now, local: make(map[string]load), reported: make(map[string]int), others: make(map[string]report)}
 }
 
-// observe records the amount of work that is at a member or waits for it.
-func (d *demands) observe(member string, count int) {
+// observe records the amount of work that an arrival finds at a member or waiting for it.
+func (d *demands) observe(member string, found int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.local[member] = max(d.local[member], count)
+	l := d.local[member]
+	d.local[member] = load{found: l.found + found, arrivals: l.arrivals + 1}
 }
 
 // next returns the demand of this proxy for its next heartbeat.
@@ -56,10 +71,10 @@
 			demand[member] = decayed
 		}
 	}
-	for member, count := range d.local {
-		demand[member] = max(demand[member], count)
+	for member, l := range d.local {
+		demand[member] = max(demand[member], l.demand())
 	}
-	d.local, d.reported = make(map[string]int), demand
+	d.local, d.reported = make(map[string]load), demand
 	return demand
 }
 
@@ -77,7 +92,7 @@
 func (d *demands) of(member, self string, hosts []string, equal int, now time.Time) map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := map[string]int{self: max(d.local[member], d.reported[member]) + 1}
+	list := map[string]int{self: max(d.local[member].demand(), d.reported[member]) + 1}
 	for _, host := range hosts {
 		last, found := d.others[host]
 		switch {
--- a/internal/share/limit_test.go
+++ b/internal/share/limit_test.go
@@ -126,3 +126,43 @@
 		g.Expect(shares.SpareCapacity("stock", near)).To(BeNumerically(">=", 10))
 	})
 }
+
+// TestCallersFarFromThePrimaryKeepItsSlotsBusy covers a proxy in another region than the
+// primary. Its statements hold a permit for the time of a round trip over the link, so that
+// a share of statements like that of the proxies beside the primary refused most of them
+// while slots were free.
+func TestCallersFarFromThePrimaryKeepItsSlotsBusy(t *testing.T) {
+	g := NewWithT(t)
+	far := view.Member{Name: "far", Database: "stock", Region: "elsewhere"}
+	shares := newLimitedShares(150)
+	shares.TakeWants("b", map[string]int{near.Name: 0, far.Name: 0})
+	g.Expect(shares.SpareCapacity("stock", near)).To(Equal(10))
+	g.Expect(shares.SpareCapacity("stock", far)).To(Equal(30))
+	few := newLimitedShares(16)
+	few.TakeWants("b", map[string]int{far.Name: 0})
+	g.Expect(few.SpareCapacity("stock", far)).To(Equal(7), "half of 16 connections less the headroom")
+}
+
+// TestBriefPeakKeepsNoConnections has work arrive one by one, and once five together. The
+// demand must follow what most of the work finds: a proxy that holds connections for its
+// highest peak takes them from one whose callers wait.
+func TestBriefPeakKeepsNoConnections(t *testing.T) {
+	g := NewWithT(t)
+	shares := newLimitedShares(150)
+	for arrivals := range 40 {
+		together := 1
+		if arrivals == 20 {
+			together = 5
+		}
+		var release []func()
+		for range together {
+			slot, err := shares.Acquire(withTimeout(t), "stock", near, request())
+			g.Expect(err).NotTo(HaveOccurred())
+			release = append(release, slot.Release)
+		}
+		for _, r := range release {
+			r()
+		}
+	}
+	g.Expect(shares.Wants()[near.Name]).To(BeNumerically("<=", 2))
+}
--- a/internal/share/share.go
+++ b/internal/share/share.go
@@ -34,12 +34,17 @@
 	// work for lack of capacity, and rises by increase with each heartbeat.
 	decreaseDivisor = 4
 	increase        = 0.25
+	// remoteFactor is how many times as many statements a proxy may have in flight at a
+	// member in another region. They spend most of their time on the link, where they take
+	// no slot.
+	remoteFactor = 3
 )
 
 // Options are the dependencies of Shares.
 type Options struct {
-	// Host is the name of this proxy.
-	Host string
+	// Host is the name of this proxy, and Region its region.
+	Host   string
+	Region string
 	// QueueLimit is the maximum amount of waiting work of each rank for each member.
 	QueueLimit int
 	// Connections returns how many connections a member of a database accepts from all
@@ -99,7 +104,7 @@
 	g := s.gate(database, m)
 	work := slots.Work{Caller: r.Caller.Name, Rank: r.Work.Rank, Arrived: r.Arrived, Deadline: r.Arrived.Add(r.Work.MaxQueueWait())}
 	_, inUse, waiting := g.Counts()
-	s.demands.observe(m.Name, inUse+waiting+1)
+	s.demands.observe(m.Name, inUse+waiting)
 	slot, err := g.Acquire(ctx, work)
 	slot.ExpiresAt = time.Now().Add(noExpiry)
 	slot.SetIdle = func(idle bool) { s.setIdle(g, idle) }
@@ -155,7 +160,11 @@
 	connections := s.fairShare(database, g, s.options.Connections(database)-headroom, now)
 	g.statements = connections
 	if slots := s.options.Slots(database); slots > 0 {
-		g.statements = min(connections, s.fairShare(database, g, int(float64(slots)*g.concurrency), now))
+		statements := s.fairShare(database, g, int(float64(slots)*g.concurrency), now)
+		if g.member.Region != s.options.Region {
+			statements *= remoteFactor
+		}
+		g.statements = min(connections, statements)
 	}
 	if connections != g.connections && s.options.OnResize != nil {
 		s.options.OnResize(g.member, connections)
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -81,7 +81,7 @@
 	refusing map[string]bool
 	// busyAt is when a member last answered that it had no capacity for a query.
 	busyAt map[string]time.Time
-	points   []Point
+	points []Point
 	// observed are positions of the primary that are not proven yet.
 	observed observations
 }
