Divide scarce connections by demand alone

Cause: each of six hosts counted with one connection more than it needed. Change: a host counts with its demand, at least 1; what the demand of all leaves is divided equally as before. TestIdleHostsLeaveScarceConnectionsToTheBusyOne red before (4 of 14).

--- a/internal/share/demand.go
+++ b/internal/share/demand.go
@@ -85,20 +85,20 @@
 	d.others[host] = report{demand: demand, received: now}
 }
 
-// of returns the demand of the given proxies at a member, plus 1 each. A proxy from which
+// of returns the demand of the given proxies at a member, at least 1 each. A proxy from which
 // no report has arrived since this proxy started counts with an equal share until a report
 // is overdue. An unresponsive proxy counts as one without demand, so that the others use
 // what it cannot.
 func (d *demands) of(member, self string, hosts []string, equal int, now time.Time) map[string]int {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	list := map[string]int{self: max(d.local[member].demand(), d.reported[member]) + 1}
+	list := map[string]int{self: max(d.local[member].demand(), d.reported[member], 1)}
 	for _, host := range hosts {
 		last, found := d.others[host]
 		switch {
 		case host == self:
 		case found && now.Sub(last.received) < demandLifetime:
-			list[host] = last.demand[member] + 1
+			list[host] = max(last.demand[member], 1)
 		case now.Sub(d.started) < demandLifetime:
 			list[host] = equal
 		default:
--- a/internal/share/limit_test.go
+++ b/internal/share/limit_test.go
@@ -166,3 +166,31 @@
 	}
 	g.Expect(shares.Wants()[near.Name]).To(BeNumerically("<=", 2))
 }
+
+// TestIdleHostsLeaveScarceConnectionsToTheBusyOne covers six hosts before a member of 16
+// connections, most of whose callers are at one host. A spare connection for each of the
+// others would leave it with three.
+func TestIdleHostsLeaveScarceConnectionsToTheBusyOne(t *testing.T) {
+	g := NewWithT(t)
+	hosts := []string{"a", "b", "c", "d", "e", "f"}
+	shares := share.New(share.Options{
+		Host: "a", QueueLimit: 100, Connections: func(string) int { return 16 }, Slots: func(string) int { return 0 },
+		Hosts: func(string) []string { return hosts }, Listed: func(view.Member) bool { return true },
+	})
+	for _, host := range hosts[1:] {
+		shares.TakeWants(host, map[string]int{near.Name: 1})
+	}
+	ctx, r := withTimeout(t), request()
+	r.Work.Deadline, r.Work.LatencyObjective = time.Minute, time.Minute
+	for range 9 {
+		go func() { _, _ = shares.Acquire(ctx, "stock", near, r) }()
+	}
+	g.Eventually(func() int {
+		shares.SpareCapacity("stock", near)
+		_, inUse, waiting := shares.Queues()[near.Name].Counts()
+		return inUse + waiting
+	}).Should(Equal(9))
+	shares.Wants()
+	_, inUse, _ := shares.Queues()[near.Name].Counts()
+	g.Expect(inUse).To(BeNumerically(">=", 7), "of 14 connections, five are for the others and the rest is divided by demand")
+}
