--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -192,16 +192,10 @@
 // maxLines is the maximum number of connections of a pool, even if a member accepts more.
 const maxLines = 1000
 
-// lineRules returns the election rules for the line protocol. AttemptTimeout is longer
-// than the time between a promotion command and its effect.
+// lineRules returns the election rules for the line protocol.
 func lineRules(s config.Settings) elect.Rules {
-	rules := elect.RulesFor(s.Timing.SuspectMs.Duration())
-	rules.SharedTerms, rules.PromotionDeposes = true, s.PromotionDeposes
-	rules.AttemptTimeout = 4 * s.Timing.SuspectMs.Duration()
-	rules.Lease = readLease + leaseMargin
-	// Another voter's claim is visible in the fences of the members, which are queried
-	// every few hundred milliseconds.
-	rules.Stagger = s.Timing.SuspectMs.Duration() / 2
+	rules := elect.SharedTermRules(s.Timing.SuspectMs.Duration(), readLease+leaseMargin)
+	rules.PromotionDeposes = s.PromotionDeposes
 	return rules
 }
 
--- a/internal/elect/elect.go
+++ b/internal/elect/elect.go
@@ -114,3 +114,18 @@
 		FenceGrace:           suspect / 10,
 	}
 }
+
+// SharedTermRules returns the rules for members that promise a term to every promoter, with
+// the given read lease.
+func SharedTermRules(suspect, lease time.Duration) Rules {
+	r := RulesFor(suspect)
+	r.SharedTerms, r.Lease = true, lease
+	// A promotion takes effect some time after its order.
+	r.AttemptTimeout = 4 * suspect
+	// Another voter's claim is visible in the fences of the members, which are queried
+	// every few hundred milliseconds.
+	r.Stagger = suspect / 2
+	// Callers wait out the quorum and the lease one after the other.
+	r.ReducedQuorumAfter = suspect * 3 / 2
+	return r
+}
--- a/internal/elect/turn_test.go
+++ b/internal/elect/turn_test.go
@@ -36,3 +36,40 @@
 	}
 	t.Fatal("got no claim, want one")
 }
+
+// TestCutOffMajorityDelaysAPromotionByLessThanFourSeconds covers a primary that is lost
+// together with most of its voters, as when a data centre is cut off. The database takes no
+// writes from the first failed query until the promotion, which itself takes up to a second;
+// both together must end within 6 s.
+func TestCutOffMajorityDelaysAPromotionByLessThanFourSeconds(t *testing.T) {
+	g := NewWithT(t)
+	start := time.Unix(0, 0)
+	machine := elect.New(elect.SharedTermRules(time.Second, time.Second), "p1", []string{"p1", "p2", "p3", "p4", "p5", "p6"}, start)
+	v := view.New("d", []view.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+	for name, role := range map[string]group.Role{"a": group.Primary, "b": group.Replica, "c": group.Replica} {
+		v = v.WithReport(view.Report{Member: name, SentAt: start, ReceivedAt: start, State: group.State{Role: role, Term: 1, EntryTerm: 1, Received: 10}})
+	}
+	v = v.WithSilence("a")
+	for now := start; now.Sub(start) < 6*time.Second; now = now.Add(50 * time.Millisecond) {
+		e := elect.Event{}
+		var actions []elect.Action
+		machine, actions = machine.Step(now, v, e)
+		for _, a := range actions {
+			switch {
+			case a.RequestVotes != nil:
+				machine, _ = machine.Step(now, v, elect.Event{Vote: &elect.Vote{From: "p2", Term: 1, Down: true}})
+			case a.ClaimTerm != nil:
+				var fences []elect.Action
+				machine, fences = machine.Step(now, v, elect.Event{Claimed: &elect.ClaimResult{Won: true, Claim: elect.Claim{Term: 2, Promoter: "p1"}}})
+				g.Expect(elect.FormatActions(fences)).To(ContainSubstring("fence b 2, fence c 2"))
+				for _, member := range []string{"b", "c"} {
+					machine, _ = machine.Step(now, v, elect.Event{Answer: &elect.Answer{Member: member, Term: 2, State: group.State{Term: 1, Fence: 2, EntryTerm: 1, Received: 10}}})
+				}
+			case a.Promote != nil:
+				g.Expect(now.Sub(start)).To(BeNumerically("<", 4*time.Second))
+				return
+			}
+		}
+	}
+	t.Fatal("got no promotion, want one")
+}
