--- a/cmd/poplarrouter/main.go
+++ b/cmd/poplarrouter/main.go
@@ -9,5 +9,5 @@
 )
 
 func main() {
-	os.Exit(cli.Main(serveCommand(), sheetCommand(), statusCommand(), drainCommand(), switchoverCommand(), replayCommand(), settingsCommand(), versionCommand()))
+	os.Exit(cli.Main(serveCommand(), sheetCommand(), statusCommand(), drainCommand(), switchoverCommand(), replayCommand(), explainCommand(), settingsCommand(), versionCommand()))
 }
