--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -132,12 +132,7 @@
 		}
 		m = m.withFenceAnswer(now, *a)
 	}
-	switch promised := m.quorumPromised(v); {
-	case !promised:
-		m.majorityFencedAt = time.Time{}
-	case m.majorityFencedAt.IsZero():
-		m.majorityFencedAt = now
-	}
+	m = m.withQuorum(now, v)
 	if now.Sub(m.stageStarted) >= m.rules.AttemptTimeout {
 		return m.timeOut(now)
 	}
@@ -193,6 +188,18 @@
 	return promised >= group.Majority(len(members))
 }
 
+// withQuorum records since when enough members have promised. A member that is listed later
+// may have to promise as well.
+func (m Machine) withQuorum(now time.Time, v view.View) Machine {
+	switch promised := m.quorumPromised(v); {
+	case !promised:
+		m.majorityFencedAt = time.Time{}
+	case m.majorityFencedAt.IsZero():
+		m.majorityFencedAt = now
+	}
+	return m
+}
+
 // withFenceAnswer records a member's promise, or that it did not answer.
 func (m Machine) withFenceAnswer(now time.Time, a Answer) Machine {
 	m.answered = maps.Clone(m.answered)
--- a/internal/elect/promise_test.go
+++ b/internal/elect/promise_test.go
@@ -94,19 +94,24 @@
 	return s
 }
 
-func (p *promotionModel) check(s promotionState, candidate string) {
-	unpromised, primaryPromised, last := 0, false, time.Time{}
-	for _, m := range p.members {
+// promises counts the replicas other than the candidate that made no promise, and returns
+// the time of the last promise of a replica.
+func (p *promotionModel) promises(s promotionState, candidate string) (unpromised int, last time.Time) {
+	for _, m := range p.members[1:] {
 		at, promised := s.promised[m.Name]
-		switch {
-		case promised && m.Name == "m0":
-			primaryPromised = true
-		case promised && at.After(last):
-			last = at
-		case !promised && m.Name != "m0" && m.Name != candidate:
+		if !promised && m.Name != candidate {
 			unpromised++
 		}
+		if promised && at.After(last) {
+			last = at
+		}
 	}
+	return unpromised, last
+}
+
+func (p *promotionModel) check(s promotionState, candidate string) {
+	unpromised, last := p.promises(s, candidate)
+	_, primaryPromised := s.promised["m0"]
 	_, candidatePromised := s.promised[candidate]
 	leaseOver := unpromised == 0 && candidatePromised && s.now.Sub(last) >= p.rules.Lease
 	planned := p.target != "" && p.rules.PromotionDeposes
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -87,12 +87,8 @@
 			s.Role = group.Primary
 		}
 		r.view = r.view.WithReport(view.Report{Member: args[0], SentAt: now, ReceivedAt: now, State: s})
-	case "silent":
-		r.view = r.view.WithSilence(args[0])
-	case "busy":
-		r.view = r.view.WithBusy(view.Busy{Member: args[0], At: now})
-	case "refuses":
-		r.view = r.view.WithRefusal(args[0])
+	case "silent", "refuses", "busy":
+		r.observe(now, verb, args[0])
 	case "vote":
 		return elect.Event{Vote: &elect.Vote{From: args[0], Term: r.term(args[1]), Down: args[2] == "down"}}
 	case "won":
@@ -117,19 +113,31 @@
 		return elect.Event{Rival: &elect.Claim{Term: r.term(args[0]), Token: uint64(r.term(args[1]))}}
 	case "handover":
 		return elect.Event{Handover: &elect.Handover{Target: args[0]}}
-	case "shared":
-		// Members promise a term to every promoter, and reads rely on a lease.
-		rules := elect.RulesFor(time.Second)
-		rules.SharedTerms, rules.Lease = true, time.Second
-		r.machine = elect.New(rules, "p1", []string{"p1", "p2", "p3"}, r.start)
-	case "deposes":
-		// A promotion also deposes the former primary.
-		rules := elect.RulesFor(time.Second)
-		rules.SharedTerms, rules.Lease, rules.PromotionDeposes = true, time.Second, true
-		r.machine = elect.New(rules, "p1", []string{"p1", "p2", "p3"}, r.start)
+	case "shared", "deposes":
+		r.useSharedTerms(verb == "deposes")
 	case "tick":
 	default:
 		r.t.Fatalf("unknown event %q", verb)
 	}
 	return elect.Event{}
 }
+
+// useSharedTerms makes the members promise a term to every promoter, and reads rely on a
+// lease. If deposes is set, a promotion also deposes the former primary.
+func (r *replay) useSharedTerms(deposes bool) {
+	rules := elect.RulesFor(time.Second)
+	rules.SharedTerms, rules.Lease, rules.PromotionDeposes = true, time.Second, deposes
+	r.machine = elect.New(rules, "p1", []string{"p1", "p2", "p3"}, r.start)
+}
+
+// observe applies what a query to a member showed other than its state.
+func (r *replay) observe(now time.Time, verb, member string) {
+	switch verb {
+	case "silent":
+		r.view = r.view.WithSilence(member)
+	case "refuses":
+		r.view = r.view.WithRefusal(member)
+	case "busy":
+		r.view = r.view.WithBusy(view.Busy{Member: member, At: now})
+	}
+}
