--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -16,8 +16,9 @@
 	"poplarrouter.example/poplarrouter/internal/meter"
 )
 
-// maintain is the background task that keeps a connection to one peer open and sends
-// the queued frames.
+// maintain is the background task that sends the queued frames to one peer. It opens a
+// connection for the first frame and closes it once none has been queued for some time, so
+// that a proxy keeps connections only to the peers that it addresses regularly.
 func (m *Connections) maintain(ctx context.Context, h book.Host, l *link) error {
 	select {
 	case <-m.started:
@@ -25,59 +26,100 @@
 		return nil
 	}
 	for ctx.Err() == nil {
-		err := m.connect(ctx, h, l)
-		if err != nil && ctx.Err() == nil {
-			m.options.Log.Emit(event.PeerLeft, event.Fields{"Peer": h.Name, "Cause": err.Error()})
-		}
 		select {
-		case <-time.After(m.options.HeartbeatInterval):
+		case first := <-l.frames.Items():
+			m.deliver(ctx, h, l, first)
 		case <-ctx.Done():
 		}
 	}
 	return nil
 }
 
-func (m *Connections) connect(ctx context.Context, h book.Host, l *link) error {
+// deliver sends a frame and those that follow it, until the connection ends. It opens a
+// connection until the first one succeeds.
+func (m *Connections) deliver(ctx context.Context, h book.Host, l *link, first Frame) {
+	for ctx.Err() == nil {
+		conn, host, err := m.connect(ctx, h)
+		if err == nil {
+			m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": host})
+			heartbeat := m.heartbeat()
+			err = m.exchange(ctx, conn, host, l.frames, 0, heartbeat, first)
+		}
+		if err == nil {
+			return
+		}
+		if ctx.Err() == nil {
+			m.options.Log.Emit(event.PeerLeft, event.Fields{"Peer": h.Name, "Cause": err.Error()})
+		}
+		duty.Pause(ctx, m.options.HeartbeatInterval)
+		if conn != nil {
+			return
+		}
+	}
+}
+
+// connect opens a connection to a peer and returns it with the peer's name.
+func (m *Connections) connect(ctx context.Context, h book.Host) (net.Conn, string, error) {
 	d := net.Dialer{Timeout: m.options.Timeout}
 	conn, err := d.DialContext(ctx, "tcp", h.PeerAddress)
 	if err != nil {
-		return err
+		return nil, "", err
 	}
 	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
-	defer func() { _ = conn.Close() }()
 	host, err := m.authenticate(conn)
 	if err != nil {
-		return err
+		return nil, "", errors.CombineErrors(err, conn.Close())
 	}
-	m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": host})
-	l.frames.Offer(m.heartbeat())
-	return m.exchange(ctx, conn, host, l.frames, 0)
+	return conn, host, nil
 }
 
-// exchange sends the queued frames and handles those of the peer, until either
-// direction fails. If idleTimeout is above 0, the connection also ends when no frame
-// arrives for that time.
-func (m *Connections) exchange(ctx context.Context, conn net.Conn, host string, frames *duty.Ring[Frame], idleTimeout time.Duration) error {
+// exchange sends the given frames, then those that are queued, and handles those of the
+// peer, until either direction fails. If idleTimeout is above 0, the connection also ends
+// when no frame arrives for that time; otherwise it ends without an error when none is
+// queued for linkIdleTimeout. It closes the connection.
+func (m *Connections) exchange(ctx context.Context, conn net.Conn, host string, frames *duty.Ring[Frame], idleTimeout time.Duration, first ...Frame) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	reading := duty.Start(ctx, func(context.Context) error {
 		defer cancel()
 		return m.read(conn, host, frames, idleTimeout)
 	})
-	err := m.sendQueued(ctx, conn, frames)
+	idle, err := m.sendQueued(ctx, conn, frames, first, idleTimeout == 0)
 	_ = conn.Close()
-	return errors.CombineErrors(<-reading, err)
+	if readErr := <-reading; !idle {
+		err = errors.CombineErrors(readErr, err)
+	}
+	return err
 }
 
-func (m *Connections) sendQueued(ctx context.Context, conn net.Conn, frames *duty.Ring[Frame]) error {
+// linkIdleTimeout is how long a connection that this proxy opened stays open while no frame
+// is queued for it. The other side closes it after the same time and its time-out.
+func (m *Connections) linkIdleTimeout() time.Duration {
+	return maxMissedHeartbeats * m.options.HeartbeatInterval
+}
+
+// sendQueued sends the given frames and then the queued ones. If opened is set, it ends when
+// none is queued for linkIdleTimeout, and reports so.
+func (m *Connections) sendQueued(ctx context.Context, conn net.Conn, frames *duty.Ring[Frame], first []Frame, opened bool) (idle bool, err error) {
+	for _, f := range first {
+		if err := m.writeFrame(conn, f); err != nil {
+			return false, err
+		}
+	}
 	for {
+		var expired <-chan time.Time
+		if opened {
+			expired = time.After(m.linkIdleTimeout())
+		}
 		select {
 		case f := <-frames.Items():
 			if err := m.writeFrame(conn, f); err != nil {
-				return err
+				return false, err
 			}
+		case <-expired:
+			return true, nil
 		case <-ctx.Done():
-			return nil
+			return false, nil
 		}
 	}
 }
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -91,3 +92,44 @@
 	t.Cleanup(two.Start(empty))
 	g.Eventually(func() uint64 { return empty.DocumentSet().Serial(book.Hosts) }).Should(BeEquivalentTo(7))
 }
+
+// disconnects is a recorder that counts the connections of peers that have ended.
+type disconnects struct {
+	recorder
+	count atomic.Int64
+}
+
+func (d *disconnects) HandleDisconnect(string) { d.count.Add(1) }
+
+// TestLinkToAHostThatIsRarelyAddressedIsNotReopened has a proxy send a single frame to a
+// host that gets no heartbeats from it, as with an offer to a host of another region. The
+// other side closes the idle connection; if it were reopened each time, the connections of a
+// large fleet would grow with each document.
+func TestLinkToAHostThatIsRarelyAddressedIsNotReopened(t *testing.T) {
+	g := NewWithT(t)
+	const timeout = 50 * time.Millisecond
+	log, stopLog := event.New(io.Discard)
+	t.Cleanup(stopLog)
+	var members []*peer.Connections
+	for i := range 2 {
+		c, cleanUp, err := peer.New(peer.Options{
+			Host: fmt.Sprint("p", i), Region: "r", Secret: "a shared secret", HeartbeatInterval: heartbeatInterval, Timeout: timeout, Log: log, Meter: meter.New(prometheus.NewRegistry()),
+		}, "127.0.0.1:0")
+		g.Expect(err).NotTo(HaveOccurred())
+		t.Cleanup(cleanUp)
+		members = append(members, c)
+	}
+	// The other host is not among the eight that get heartbeats.
+	hosts := []book.Host{{Name: "p1", PeerAddress: members[1].Address()}}
+	for i := range 60 {
+		hosts = append(hosts, book.Host{Name: fmt.Sprint("unused", i), PeerAddress: "127.0.0.1:1"})
+	}
+	members[0].SetHosts(hosts)
+	g.Expect(members[0].ConnectedPeers()).NotTo(ContainElement("p1"))
+	target := &disconnects{}
+	t.Cleanup(members[1].Start(target))
+	members[0].Send("p1", peer.Frame{Offer: &peer.Offer{Kind: book.Sheet, Serial: 1}})
+	t.Cleanup(members[0].Start(&recorder{}))
+	time.Sleep(40 * heartbeatInterval)
+	g.Expect(target.count.Load()).To(BeNumerically("<=", 1))
+}
