Give way at once when a promotion is refused, order claims within a second

The promotion was refused (409) at 2.71 s, but an answer that is refused is also marked as failed, which the promoting stage ignored, so that the attempt went on until 5.61 s. It was refused because an order of a claim that began 0.5 s earlier was carried out late: tokens of the same second are ordered by the number of the host. Change: a refusal ends the attempt; the time in a token has 32 ticks a second.

--- a/internal/ctrl/token.go
+++ b/internal/ctrl/token.go
@@ -15,7 +15,7 @@
 // Tokens generates the fencing tokens of one proxy's claims. It is used where promotion
 // orders are checked by their tokens, so that tokens are unique without a store.
 //
-// A token consists of the term that it starts, the second of the attempt and the number of
+// A token consists of the term that it starts, the time of the attempt and the number of
 // the proxy. Later terms therefore outrank earlier ones, later attempts outrank earlier
 // ones, and no two proxies generate the same token. A clock that is ahead or behind
 // decides which of several attempts wins, but does not let two of them win.
@@ -27,11 +27,15 @@
 // The bit widths of the parts of a token. Their sum fits into the integers that every JSON
 // reader represents exactly.
 const (
-	hostBits   = 14
-	secondBits = 27
-	termBits   = 11
+	hostBits = 12
+	tickBits = 30
+	termBits = 11
 )
 
+// ticksPerSecond is the resolution of the time of an attempt. It is finer than the stagger
+// between two voters, so that an attempt outranks those that began before it.
+const ticksPerSecond = 32
+
 // NewTokens returns the token generator of a host.
 func NewTokens(host string) *Tokens {
 	return &Tokens{hostNumber: xxhash.Sum64String(host) & (1<<hostBits - 1)}
@@ -41,10 +45,10 @@
 // all tokens that Next returned before for this term.
 func (t *Tokens) Next(term group.Term, now time.Time) uint64 {
 	for {
-		second := uint64(now.Unix()) & (1<<secondBits - 1) //nolint:gosec // times since 1970
-		token := (uint64(term)&(1<<termBits-1))<<(secondBits+hostBits) | second<<hostBits | t.hostNumber
+		tick := uint64(now.UnixNano()/int64(time.Second/ticksPerSecond)) & (1<<tickBits - 1) //nolint:gosec // times since 1970
+		token := (uint64(term)&(1<<termBits-1))<<(tickBits+hostBits) | tick<<hostBits | t.hostNumber
 		previous := t.last.Load()
-		if sameTerm := previous>>(secondBits+hostBits) == token>>(secondBits+hostBits); sameTerm && token <= previous {
+		if sameTerm := previous>>(tickBits+hostBits) == token>>(tickBits+hostBits); sameTerm && token <= previous {
 			token = previous + 1<<hostBits
 		}
 		if t.last.CompareAndSwap(previous, token) {
--- a/internal/ctrl/token_test.go
+++ b/internal/ctrl/token_test.go
@@ -39,3 +39,19 @@
 	later := ctrl.NewTokens("front-a-1").Next(3, now.Add(-time.Hour))
 	g.Expect(later).To(BeNumerically(">", ctrl.NewTokens("front-a-2").Next(2, now)), "a later term outranks an earlier one, whatever the clock shows")
 }
+
+// TestLaterAttemptOfAnotherHostOutranksAnEarlierOne covers an order that the platform carries
+// out seconds late. If the token of a later claim, made by another host in the same second,
+// is lower, the promotion of that claim is refused once the late order has been carried out.
+func TestLaterAttemptOfAnotherHostOutranksAnEarlierOne(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		host := rapid.StringMatching("front-[a-z]{2}-[0-9]{1,3}")
+		earlier, later := ctrl.NewTokens(host.Draw(t, "earlier")), ctrl.NewTokens(host.Draw(t, "later"))
+		now := time.Unix(1_800_000_000, rapid.Int64Range(0, 999_999_999).Draw(t, "nanoseconds"))
+		// The stagger of the next voter.
+		first, second := earlier.Next(2, now), later.Next(2, now.Add(500*time.Millisecond))
+		if second <= first {
+			t.Fatalf("got token %d after %d, want a higher one", second, first)
+		}
+	})
+}
--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -340,11 +340,11 @@
 }
 
 func (m Machine) choosing(now time.Time, e Event) (Machine, []Action) {
-	if a := e.Answer; a != nil && a.Member == m.candidate && a.Term == m.claim.Term && !a.Failed {
+	if a := e.Answer; a != nil && a.Member == m.candidate && a.Term == m.claim.Term {
 		if a.Refused {
 			return m.abandon(now.Add(m.idleAfterRefusal()), AttemptFailed)
 		}
-		if a.State.Role == group.Primary && m.implementsClaim(a.State.Term) {
+		if !a.Failed && a.State.Role == group.Primary && m.implementsClaim(a.State.Term) {
 			return m.abandon(now.Add(m.rules.AttemptTimeout), MemberPromoted)
 		}
 	}
--- a/internal/elect/event.go
+++ b/internal/elect/event.go
@@ -61,7 +61,8 @@
 	Term   group.Term
 	// Refused is set if the member's promises forbid the order.
 	Refused bool
-	// Failed is set if no answer was received; the order may have taken effect.
+	// Failed is set if the order was refused or no answer was received. Unless it was
+	// refused, it may have taken effect.
 	Failed bool
 	// State is the member's state after the order.
 	State group.State
--- a/internal/elect/trace_test.go
+++ b/internal/elect/trace_test.go
@@ -99,7 +99,7 @@
 		return elect.Event{Claimed: &elect.ClaimResult{}}
 	case "answer":
 		// answer MEMBER TERM promised|refused|failed|promoted|follows ENTRYTERM RECEIVED
-		a := &elect.Answer{Member: args[0], Term: r.term(args[1]), Refused: args[2] == "refused", Failed: args[2] == "failed"}
+		a := &elect.Answer{Member: args[0], Term: r.term(args[1]), Refused: args[2] == "refused", Failed: args[2] == "failed" || args[2] == "refused"}
 		a.State = group.State{EntryTerm: r.term(args[3]), Received: group.Position(r.term(args[4])), Term: r.term(args[3])}
 		switch args[2] {
 		case "promoted":
