An entry that awaits its acknowledgement proves nothing of its primary

A primary reports an entry once it is acknowledged, so that one sent just before a partition is at a replica all the while. Change: that proof is gone; acknowledged commits and states of replicas remain.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -82,8 +82,6 @@
 	// busyAt is when a member last answered that it had no capacity for a query.
 	busyAt map[string]time.Time
 	points []Point
-	// observed are positions of the primary that are not proven yet.
-	observed observations
 }
 
 // New returns the view of a database from which no report has been received.
@@ -211,7 +209,20 @@
 	if p, proven := v.prove(); proven {
 		v.points = withPoint(v.points, p)
 	}
-	return v.withObservation(r)
+	return v.withAcknowledgement(r)
+}
+
+// withAcknowledgement returns the view after an answer of the primary to a commit that a
+// replica has received: the replica had then made no promise, so that no other primary had
+// acknowledged a write when the commit was sent. An entry of a replica that the primary had
+// not reported yet proves nothing of the kind. The primary reports an entry only once it is
+// acknowledged, which may be long after the replica has received it.
+func (v View) withAcknowledgement(r Report) View {
+	primary, found := v.Primary()
+	if found && r.Member == primary.Member && r.State.Confirmed && primary.State.Leading && !primary.State.Fenced() {
+		v.points = withPoint(v.points, Point{Floor: r.State.LastEntry(), SentAt: r.SentAt})
+	}
+	return v
 }
 
 func cloneWith[V any](m map[string]V, key string, value V) map[string]V {
