--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -8,8 +8,8 @@
 // different owners.
 //
 // Invariants: a job that was written completely may have run, unless its outcome or a
-// closing notice says that it has not; a connection is closed if an outcome is missing on it; a transaction
-// ends with the relay connection on which it was opened.
+// closing notice says that it has not; a connection is closed if an outcome is missing on
+// it; a transaction ends with the relay connection on which it was opened.
 package relay
 
 import (
