--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -162,15 +162,29 @@
 // storeRetry is the pause after a failed request to the store.
 const storeRetry = 500 * time.Millisecond
 
-func newDocuments(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, g *guard.Guard, mesh *peer.Connections, p *protocolParts) *ctrl.Documents {
+func newDocuments(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, registry *prometheus.Registry, g *guard.Guard, mesh *peer.Connections, p *protocolParts) *ctrl.Documents {
 	documents, cleanUp := ctrl.NewDocuments(ctrl.DocumentsOptions{
 		Host: s.Host, Region: s.Region, Store: st, Log: log, Guard: g, Broadcaster: mesh, LastHeard: mesh.LastReceived, Retry: storeRetry, ChangePause: p.changePause,
 		WatchersPerRegion: p.storeWatchers, FirstWait: p.firstWait, MaxStoreAge: p.maxStoreAge,
 	})
 	onStop(lc, cleanUp)
+	registerDocumentMetrics(registry, documents)
 	return documents
 }
 
+// registerDocumentMetrics registers gauges that show which documents are in force and how
+// long ago the store answered.
+func registerDocumentMetrics(registry *prometheus.Registry, documents *ctrl.Documents) {
+	for _, kind := range book.Kinds() {
+		registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "poplarrouter_document_serial", Help: "Serial of the document in force, by kind.", ConstLabels: prometheus.Labels{"kind": string(kind)},
+		}, func() float64 { return float64(documents.Book().Serial(kind)) }))
+	}
+	registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "poplarrouter_store_answer_age_seconds", Help: "Time since the store's last answer that this proxy knows of.",
+	}, func() float64 { return documents.StoreAge().Seconds() }))
+}
+
 func newControllers(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, documents *ctrl.Documents, mesh *peer.Connections, p *protocolParts) *ctrl.Controllers {
 	controllers, cleanUp := ctrl.NewControllers(ctrl.ControllersOptions{
 		Controller: ctrl.ControllerOptions{
@@ -288,7 +302,7 @@
 var _ peer.Handler = (*handler)(nil)
 
 // HandleDoc implements peer.Handler.
-func (h *handler) HandleDoc(doc book.Doc) { h.Receive(doc) }
+func (h *handler) HandleDoc(host string, doc book.Doc) { h.Receive(doc, host) }
 
 // Cancel implements peer.Handler.
 func (h *handler) Cancel(processID uint32, secretKey []byte) { h.front.Cancel(processID, secretKey) }
--- a/internal/ctrl/documents.go
+++ b/internal/ctrl/documents.go
@@ -54,11 +54,20 @@
 type Documents struct {
 	options DocumentsOptions
 	current *duty.Cell[book.DocumentSet]
-	docs    *duty.Ring[book.Doc]
+	docs    *duty.Ring[receivedDoc]
 	// storeAnswered is the time of the last answer of the store that is known.
 	storeAnswered atomic.Pointer[time.Time]
 }
 
+// receivedDoc is a document with its source.
+type receivedDoc struct {
+	book.Doc
+	source string
+}
+
+// sourceStore is the source of documents that this proxy read from the store itself.
+const sourceStore = "store"
+
 const (
 	documentQueue = 64
 	// maxRetryFactor limits the pause between calls to a store that fails, so that it is
@@ -71,7 +80,7 @@
 // NewDocuments starts the background tasks and returns the documents with their clean-up
 // function.
 func NewDocuments(options DocumentsOptions) (*Documents, func()) {
-	d := &Documents{options: options, current: duty.NewCell(book.DocumentSet{}), docs: duty.NewRing[book.Doc](documentQueue)}
+	d := &Documents{options: options, current: duty.NewCell(book.DocumentSet{}), docs: duty.NewRing[receivedDoc](documentQueue)}
 	stops := []func(){duty.Run(d.run)}
 	for _, kind := range book.Kinds() {
 		stops = append(stops, duty.Run(func(ctx context.Context) error { return d.watch(ctx, kind) }))
@@ -89,8 +98,11 @@
 // Watch returns the current documents and a channel that closes when they change.
 func (d *Documents) Watch() (book.DocumentSet, <-chan struct{}) { return d.current.Watch() }
 
-// Receive handles a document. It replaces the current one if it is newer.
-func (d *Documents) Receive(doc book.Doc) { d.docs.Offer(doc) }
+// Receive handles a document of the named source, a host or sourceStore. It replaces the
+// current one if it is newer.
+func (d *Documents) Receive(doc book.Doc, source string) {
+	d.docs.Offer(receivedDoc{Doc: doc, source: source})
+}
 
 // run is the background task that owns the current documents.
 func (d *Documents) run(ctx context.Context) error {
@@ -110,11 +122,11 @@
 	book.Hosts:     event.DatabasesChanged,
 }
 
-func (d *Documents) apply(doc book.Doc) {
+func (d *Documents) apply(doc receivedDoc) {
 	previous := d.Book()
-	next, taken, err := previous.With(doc)
+	next, taken, err := previous.With(doc.Doc)
 	if err != nil {
-		d.options.Log.Emit(event.SheetRefused, event.Fields{"Kind": doc.Kind, "Serial": doc.Serial, "Cause": err.Error()})
+		d.options.Log.Emit(event.SheetRefused, event.Fields{"Kind": doc.Kind, "Serial": doc.Serial, "Source": doc.source, "Cause": err.Error()})
 		return
 	}
 	if !taken {
@@ -124,8 +136,8 @@
 		"Kind": doc.Kind, "Was": previous.Serial(doc.Kind), "Now": next.Serial(doc.Kind),
 	})
 	d.current.Store(next)
-	d.options.Log.Emit(appliedEvents[doc.Kind], event.Fields{"Kind": doc.Kind, "Serial": doc.Serial})
-	d.options.Broadcaster.Spread(doc)
+	d.options.Log.Emit(appliedEvents[doc.Kind], event.Fields{"Kind": doc.Kind, "Serial": doc.Serial, "Source": doc.source})
+	d.options.Broadcaster.Spread(doc.Doc)
 }
 
 // StoreAge returns the time since the store's last answer to this proxy or, as far as it
@@ -161,6 +173,7 @@
 		if !d.watchesStore(kind) && !d.awaitNextCheck(ctx, kind, firstRead) {
 			continue
 		}
+		began := time.Now()
 		object, err := d.options.Store.Watch(ctx, string(kind), seen)
 		var unchanged *store.UnchangedError
 		var missing *store.MissingError
@@ -177,7 +190,7 @@
 			}
 		case ctx.Err() != nil:
 		default:
-			d.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "watch", "Kind": kind, "Cause": err.Error()})
+			d.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "watch", "Kind": kind, "WaitedMs": time.Since(began).Milliseconds(), "Cause": err.Error()})
 			duty.Pause(ctx, retry)
 			if !errors.As(err, &missing) {
 				retry = min(2*retry, maxRetryFactor*d.options.Retry)
@@ -226,7 +239,7 @@
 		d.options.Log.Emit(event.SheetRefused, event.Fields{"Kind": kind, "Cause": err.Error()})
 		return
 	}
-	d.Receive(doc)
+	d.Receive(doc, sourceStore)
 }
 
 // watchesStore reports whether this proxy watches the store for its region. With a few
--- a/internal/ctrl/gossip_test.go
+++ b/internal/ctrl/gossip_test.go
@@ -140,7 +140,7 @@
 // send delivers a document after it was offered, fetched and sent.
 func (s *gossipCluster) send(from, to *gossipNode, doc book.Doc) {
 	if !s.cut(from.host.Region, to.host.Region) {
-		time.AfterFunc(3*s.delay(from.host.Region, to.host.Region), func() { to.documents.Receive(doc) })
+		time.AfterFunc(3*s.delay(from.host.Region, to.host.Region), func() { to.documents.Receive(doc, from.host.Name) })
 	}
 }
 
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -49,7 +49,7 @@
 			return
 		}
 		if ctx.Err() == nil {
-			m.options.Log.Emit(event.PeerLeft, event.Fields{"Peer": h.Name, "Cause": err.Error()})
+			m.options.Log.Emit(event.PeerLeft, event.Fields{"Peer": h.Name, "SilentMs": time.Since(m.Heard(h.Name)).Milliseconds(), "Cause": err.Error()})
 		}
 		duty.Pause(ctx, m.options.HeartbeatInterval)
 		if conn != nil {
--- a/internal/peer/docs.go
+++ b/internal/peer/docs.go
@@ -149,8 +149,8 @@
 	m.options.Log.Emit(event.SheetRefused, event.Fields{"Kind": kind, "Serial": serial, "Cause": cause.Error()})
 }
 
-// takeDoc passes on a received document.
-func (m *Connections) takeDoc(f DocFrame) {
+// takeDoc passes on a document that a peer sent.
+func (m *Connections) takeDoc(host string, f DocFrame) {
 	doc, err := f.Doc()
 	if err != nil {
 		m.logMalformed(f.Kind, f.Serial, err)
@@ -159,5 +159,5 @@
 	m.mu.Lock()
 	m.transfers.end(f)
 	m.mu.Unlock()
-	m.handler.HandleDoc(doc)
+	m.handler.HandleDoc(host, doc)
 }
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -55,7 +55,7 @@
 		name := fmt.Sprint("holder-", i)
 		holder := newConnections(t, name, "a shared secret")
 		r := &recorder{}
-		r.HandleDoc(book.Doc{Kind: book.Hosts, Serial: 7, Body: body})
+		r.HandleDoc("", book.Doc{Kind: book.Hosts, Serial: 7, Body: body})
 		t.Cleanup(holder.Start(r))
 		hosts = append(hosts, book.Host{Name: name, PeerAddress: holder.Address()})
 	}
@@ -86,7 +86,7 @@
 	g := NewWithT(t)
 	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "a shared secret")
 	holder, empty := &recorder{}, &recorder{}
-	holder.HandleDoc(hostsDoc())
+	holder.HandleDoc("", hostsDoc())
 	one.SetHosts([]book.Host{{Name: "two", PeerAddress: two.Address()}})
 	t.Cleanup(one.Start(holder))
 	t.Cleanup(two.Start(empty))
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -16,8 +16,8 @@
 
 // Handler handles the frames of peers.
 type Handler interface {
-	// HandleDoc handles a document, which may be older than the one held.
-	HandleDoc(doc book.Doc)
+	// HandleDoc handles a document that a peer sent, which may be older than the one held.
+	HandleDoc(host string, doc book.Doc)
 	// DocumentSet returns the documents that this proxy holds.
 	DocumentSet() book.DocumentSet
 	// StoreAge returns the time since the last answer of the store that this proxy knows
@@ -265,7 +265,7 @@
 	case f.Fetch != nil:
 		m.answerFetch(*f.Fetch, answers)
 	case f.Doc != nil:
-		m.takeDoc(*f.Doc)
+		m.takeDoc(host, *f.Doc)
 	case f.VoteRequest != nil:
 		vote := elect.Vote{From: m.options.Host, Term: f.VoteRequest.Term, Down: m.handler.SuspectsPrimary(f.VoteRequest.Database, f.VoteRequest.Term)}
 		answers.Offer(Frame{Vote: &VoteFrame{Database: f.VoteRequest.Database, Vote: vote}})
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -28,7 +28,7 @@
 	votes []elect.Vote
 }
 
-func (r *recorder) HandleDoc(doc book.Doc) {
+func (r *recorder) HandleDoc(_ string, doc book.Doc) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.book, _, _ = r.book.With(doc)
@@ -93,7 +93,7 @@
 	g := NewWithT(t)
 	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "a shared secret")
 	holder, empty := &recorder{}, &recorder{}
-	holder.HandleDoc(hostsDoc())
+	holder.HandleDoc("", hostsDoc())
 	// The connection is opened before Start, as it is when the list of hosts is received
 	// before the proxy has started.
 	two.SetHosts([]book.Host{{Name: "one", PeerAddress: one.Address()}})
@@ -110,7 +110,7 @@
 	g := NewWithT(t)
 	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "another secret")
 	holder, empty := &recorder{}, &recorder{}
-	holder.HandleDoc(hostsDoc())
+	holder.HandleDoc("", hostsDoc())
 	two.SetHosts([]book.Host{{Name: "one", PeerAddress: one.Address()}})
 	one.SetHosts([]book.Host{{Name: "two", PeerAddress: two.Address()}})
 	t.Cleanup(one.Start(holder))
@@ -124,7 +124,7 @@
 	g := NewWithT(t)
 	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "a shared secret")
 	holder, empty := &recorder{}, &recorder{}
-	holder.HandleDoc(hostsDoc())
+	holder.HandleDoc("", hostsDoc())
 	t.Cleanup(one.Start(holder))
 	conn, err := net.Dial("tcp", one.Address())
 	g.Expect(err).NotTo(HaveOccurred())
