Replace connections to peers that went silent

Cause: only the side that accepts a connection between hosts limits how long it hears nothing. The side that opened it sends heartbeats, which succeed while the send buffer has room, and waits for offers without a limit. On a connection that went silent without a reset it waits until the kernel gives up, many minutes.

Change: the accepting side acknowledges each heartbeat, and says in its welcome that it does. The opening side closes a connection when no frame arrives within two heartbeats and a time-out of one that it sent, and opens another. Peers of an earlier release send no acknowledgement and are not timed.

--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -39,11 +39,11 @@
 // connection until the first one succeeds.
 func (m *Connections) deliver(ctx context.Context, h book.Host, l *link, first Frame) {
 	for ctx.Err() == nil {
-		conn, host, err := m.connect(ctx, h)
+		conn, welcome, err := m.connect(ctx, h)
 		if err == nil {
-			m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": host})
+			m.options.Log.Emit(event.PeerJoined, event.Fields{"Peer": welcome.Host})
 			heartbeat := m.heartbeat()
-			err = m.exchange(ctx, conn, host, l.frames, 0, heartbeat, first)
+			err = m.exchange(ctx, m.openedStream(conn, welcome, l.frames), heartbeat, first)
 		}
 		if err == nil {
 			return
@@ -58,34 +58,57 @@
 	}
 }
 
-// connect opens a connection to a peer and returns it with the peer's name.
-func (m *Connections) connect(ctx context.Context, h book.Host) (net.Conn, string, error) {
+// connect opens a connection to a peer and returns it with the peer's welcome.
+func (m *Connections) connect(ctx context.Context, h book.Host) (net.Conn, Welcome, error) {
 	d := net.Dialer{Timeout: m.options.Timeout}
 	conn, err := d.DialContext(ctx, "tcp", h.PeerAddress)
 	if err != nil {
-		return nil, "", err
+		return nil, Welcome{}, err
 	}
 	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
-	host, err := m.authenticate(conn)
+	welcome, err := m.authenticate(conn)
 	if err != nil {
-		return nil, "", errors.CombineErrors(err, conn.Close())
+		return nil, Welcome{}, errors.CombineErrors(err, conn.Close())
 	}
-	return conn, host, nil
+	return conn, welcome, nil
+}
+
+// stream is an authenticated connection with the frames that are queued for it.
+type stream struct {
+	net.Conn
+	// host is the peer's name.
+	host   string
+	frames *duty.Ring[Frame]
+	// opened is set if this proxy opened the connection. It then ends when no frame is
+	// queued for linkIdleTimeout; otherwise it ends when none arrives for idleTimeout.
+	opened      bool
+	idleTimeout time.Duration
+	acks        *ackDeadline
+}
+
+func (m *Connections) openedStream(conn net.Conn, w Welcome, frames *duty.Ring[Frame]) stream {
+	s := stream{Conn: conn, host: w.Host, frames: frames, opened: true}
+	if w.AcksHeartbeats {
+		s.acks = &ackDeadline{conn: conn, timeout: m.ackTimeout()}
+	}
+	return s
 }
 
 // exchange sends the given frames, then those that are queued, and handles those of the
-// peer, until either direction fails. If idleTimeout is above 0, the connection also ends
-// when no frame arrives for that time; otherwise it ends without an error when none is
-// queued for linkIdleTimeout. It closes the connection.
-func (m *Connections) exchange(ctx context.Context, conn net.Conn, host string, frames *duty.Ring[Frame], idleTimeout time.Duration, first ...Frame) error {
+// peer, until either direction fails or the connection is idle, which is no error. It closes
+// the connection.
+func (m *Connections) exchange(ctx context.Context, s stream, first ...Frame) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	if err := s.SetReadDeadline(time.Time{}); err != nil {
+		return errors.CombineErrors(err, s.Close())
+	}
 	reading := duty.Start(ctx, func(context.Context) error {
 		defer cancel()
-		return m.read(conn, host, frames, idleTimeout)
+		return m.read(s)
 	})
-	idle, err := m.sendQueued(ctx, conn, frames, first, idleTimeout == 0)
-	_ = conn.Close()
+	idle, err := m.sendQueued(ctx, s, first)
+	_ = s.Close()
 	if readErr := <-reading; !idle {
 		err = errors.CombineErrors(readErr, err)
 	}
@@ -98,22 +121,28 @@
 	return maxMissedHeartbeats * m.options.HeartbeatInterval
 }
 
-// sendQueued sends the given frames and then the queued ones. If opened is set, it ends when
-// none is queued for linkIdleTimeout, and reports so.
-func (m *Connections) sendQueued(ctx context.Context, conn net.Conn, frames *duty.Ring[Frame], first []Frame, opened bool) (idle bool, err error) {
+// ackTimeout is how long the acknowledgement of a heartbeat may take: longer than one lost
+// packet delays it, and short enough that a silent connection is replaced within seconds.
+func (m *Connections) ackTimeout() time.Duration {
+	return 2*m.options.HeartbeatInterval + m.options.Timeout
+}
+
+// sendQueued sends the given frames and then the queued ones. On an opened connection it
+// ends when none is queued for linkIdleTimeout, and reports so.
+func (m *Connections) sendQueued(ctx context.Context, s stream, first []Frame) (idle bool, err error) {
 	for _, f := range first {
-		if err := m.writeFrame(conn, f); err != nil {
+		if err := m.sendFrame(s, f); err != nil {
 			return false, err
 		}
 	}
 	for {
 		var expired <-chan time.Time
-		if opened {
+		if s.opened {
 			expired = time.After(m.linkIdleTimeout())
 		}
 		select {
-		case f := <-frames.Items():
-			if err := m.writeFrame(conn, f); err != nil {
+		case f := <-s.frames.Items():
+			if err := m.sendFrame(s, f); err != nil {
 				return false, err
 			}
 		case <-expired:
@@ -124,22 +153,32 @@
 	}
 }
 
-func (m *Connections) read(conn net.Conn, host string, frames *duty.Ring[Frame], idleTimeout time.Duration) error {
-	if err := conn.SetReadDeadline(time.Time{}); err != nil {
-		return err
+// sendFrame writes a frame to a stream.
+func (m *Connections) sendFrame(s stream, f Frame) error {
+	if f.Heartbeat != nil {
+		if err := s.acks.await(); err != nil {
+			return err
+		}
 	}
+	return m.writeFrame(s, f)
+}
+
+func (m *Connections) read(s stream) error {
 	for {
-		if idleTimeout > 0 {
-			if err := conn.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		if !s.opened {
+			if err := s.SetReadDeadline(time.Now().Add(s.idleTimeout)); err != nil {
 				return err
 			}
 		}
-		f, err := Decode(conn, MaxFrame)
+		f, err := Decode(s, MaxFrame)
 		if err != nil {
 			return err
 		}
-		m.recordReceived(host)
-		m.handleFrame(host, f, frames)
+		if err := s.acks.received(); err != nil {
+			return err
+		}
+		m.recordReceived(s.host)
+		m.handleFrame(s.host, f, s.frames)
 	}
 }
 
@@ -156,31 +195,31 @@
 }
 
 // authenticate answers the challenge of the accepting side and checks the proof that
-// it returns. It returns the peer's name.
-func (m *Connections) authenticate(conn net.Conn) (string, error) {
+// it returns. It returns the peer's welcome.
+func (m *Connections) authenticate(conn net.Conn) (Welcome, error) {
 	if err := conn.SetReadDeadline(time.Now().Add(m.options.Timeout)); err != nil {
-		return "", err
+		return Welcome{}, err
 	}
 	f, err := Decode(conn, maxHandshake)
 	if err != nil {
-		return "", err
+		return Welcome{}, err
 	}
 	if f.Challenge == nil || len(f.Challenge.Nonce) != nonceBytes {
-		return "", &FrameError{Got: "another frame", Want: "a challenge"}
+		return Welcome{}, &FrameError{Got: "another frame", Want: "a challenge"}
 	}
 	nonce := newNonce()
 	hello := Hello{Host: m.options.Host, Nonce: nonce, Proof: m.proof(f.Challenge.Nonce, "hello", m.options.Host)}
 	if err := m.writeFrame(conn, Frame{Hello: &hello}); err != nil {
-		return "", err
+		return Welcome{}, err
 	}
 	f, err = Decode(conn, maxHandshake)
 	if err != nil {
-		return "", err
+		return Welcome{}, err
 	}
 	if f.Welcome == nil || !hmac.Equal(f.Welcome.Proof, m.proof(nonce, "welcome", f.Welcome.Host)) {
-		return "", &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
+		return Welcome{}, &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
 	}
-	return f.Welcome.Host, nil
+	return *f.Welcome, nil
 }
 
 func newNonce() []byte {
@@ -247,7 +286,7 @@
 	answers := duty.NewRing[Frame](sendQueue)
 	m.recordReceived(host)
 	m.handleFrame(host, first, answers)
-	return m.exchange(ctx, conn, host, answers, idleTimeout)
+	return m.exchange(ctx, stream{Conn: conn, host: host, frames: answers, idleTimeout: idleTimeout})
 }
 
 // firstFrame reads the first frame, which determines whether a connection relays
@@ -273,10 +312,10 @@
 	conn = m.options.Meter.Wrap(conn, meter.Peer, h.Region)
 	stop := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	defer stop()
-	name, err := m.authenticate(conn)
-	if err == nil && name != h.Name {
+	welcome, err := m.authenticate(conn)
+	if err == nil && welcome.Host != h.Name {
 		// The address of a host that is gone may be reused by another host.
-		err = &FrameError{Got: "a greeting of " + name, Want: "one of " + h.Name}
+		err = &FrameError{Got: "a greeting of " + welcome.Host, Want: "one of " + h.Name}
 	}
 	if err == nil {
 		err = m.writeFrame(conn, Frame{Relay: true})
@@ -313,6 +352,6 @@
 	if f.Hello == nil || !hmac.Equal(f.Hello.Proof, m.proof(nonce, "hello", f.Hello.Host)) {
 		return "", &FrameError{Got: "a false proof", Want: "a proof of the shared secret"}
 	}
-	welcome := Welcome{Host: m.options.Host, Proof: m.proof(f.Hello.Nonce, "welcome", m.options.Host)}
+	welcome := Welcome{Host: m.options.Host, Proof: m.proof(f.Hello.Nonce, "welcome", m.options.Host), AcksHeartbeats: true}
 	return f.Hello.Host, m.writeFrame(conn, Frame{Welcome: &welcome})
 }
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -46,18 +46,20 @@
 	Claim     *ClaimNotice `msgpack:",omitempty"`
 	// ConnectionDemand is the number of connections that a proxy needs to each member,
 	// by the member's name. It is sent with a heartbeat.
-	ConnectionDemand map[string]int  `msgpack:"Wants,omitempty"`
-	Offer            *Offer          `msgpack:",omitempty"`
-	Fetch            *Fetch          `msgpack:",omitempty"`
-	Doc              *DocFrame       `msgpack:",omitempty"`
-	VoteRequest      *VoteRequest    `msgpack:"Ask,omitempty"`
-	Vote             *VoteFrame      `msgpack:",omitempty"`
-	Cancel           *Cancel         `msgpack:",omitempty"`
-	PermitRequest    *PermitRequest  `msgpack:"Want,omitempty"`
-	Grant            *Grant          `msgpack:",omitempty"`
-	Release          *Release        `msgpack:"Done,omitempty"`
-	SuspicionQuery   *SuspicionQuery `msgpack:"Doubt,omitempty"`
-	SuspicionVote    *SuspicionVote  `msgpack:"Opinion,omitempty"`
+	ConnectionDemand map[string]int `msgpack:"Wants,omitempty"`
+	// HeartbeatAck acknowledges a heartbeat.
+	HeartbeatAck   bool            `msgpack:"BeatAck,omitempty"`
+	Offer          *Offer          `msgpack:",omitempty"`
+	Fetch          *Fetch          `msgpack:",omitempty"`
+	Doc            *DocFrame       `msgpack:",omitempty"`
+	VoteRequest    *VoteRequest    `msgpack:"Ask,omitempty"`
+	Vote           *VoteFrame      `msgpack:",omitempty"`
+	Cancel         *Cancel         `msgpack:",omitempty"`
+	PermitRequest  *PermitRequest  `msgpack:"Want,omitempty"`
+	Grant          *Grant          `msgpack:",omitempty"`
+	Release        *Release        `msgpack:"Done,omitempty"`
+	SuspicionQuery *SuspicionQuery `msgpack:"Doubt,omitempty"`
+	SuspicionVote  *SuspicionVote  `msgpack:"Opinion,omitempty"`
 	// Relay dedicates the connection to relayed requests of callers for databases that
 	// the accepting proxy owns. It is the first frame of such a connection.
 	Relay bool `msgpack:",omitempty"`
@@ -129,6 +131,9 @@
 type Welcome struct {
 	Host  string
 	Proof []byte
+	// AcksHeartbeats is set if the accepting side acknowledges heartbeats. Earlier releases
+	// do not.
+	AcksHeartbeats bool `msgpack:",omitempty"`
 }
 
 // ClaimNotice announces a claim that was won.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -259,6 +259,7 @@
 			m.handler.TakeWants(host, f.ConnectionDemand)
 		}
 		m.handler.TakeStoreAge(f.Heartbeat.StoreAge())
+		answers.Offer(Frame{HeartbeatAck: true})
 		m.answerHeartbeat(*f.Heartbeat, answers)
 	case f.Offer != nil:
 		m.takeOffer(*f.Offer, answers)
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -77,9 +77,13 @@
 const heartbeatInterval = 20 * time.Millisecond
 
 func newConnections(t *testing.T, host, secret string) *peer.Connections {
+	return newConnectionsWithTimeout(t, host, secret, time.Second)
+}
+
+func newConnectionsWithTimeout(t *testing.T, host, secret string, timeout time.Duration) *peer.Connections {
 	log, stopLog := event.New(io.Discard)
 	t.Cleanup(stopLog)
-	m, cleanUp, err := peer.New(peer.Options{Host: host, Region: "r", Secret: secret, HeartbeatInterval: heartbeatInterval, Timeout: time.Second, Log: log, Meter: meter.New(prometheus.NewRegistry())}, "127.0.0.1:0")
+	m, cleanUp, err := peer.New(peer.Options{Host: host, Region: "r", Secret: secret, HeartbeatInterval: heartbeatInterval, Timeout: timeout, Log: log, Meter: meter.New(prometheus.NewRegistry())}, "127.0.0.1:0")
 	NewWithT(t).Expect(err).NotTo(HaveOccurred())
 	t.Cleanup(cleanUp)
 	return m
