Notice a silent connection to the store before a new sheet is overdue

Cause: a watch of the store lasted config_apply_ms (WatchMs), and its time-out a second more. On a connection that goes silent right after the watches began, every watcher hears nothing until the change is overdue, then pauses for half a second, and may take another idle connection that went silent at the same moment. The other hosts get their sheets from the watchers. In the logs: watches begin at 8.17 s, silence from 8.2 s, 104 at 15.1 s, the sheet in force from 15.69 s on; it was due at 14.37 s.

Change: the new setting ApplyMs is the bound itself, and a watch lasts at most half of it. The pause after a failed call counts from the call's start.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -34,7 +34,7 @@
 
 func newObjects(lc fx.Lifecycle, s config.Settings) store.Store {
 	client, cleanUp := objst.New(objst.Options{
-		Address: s.StoreAddress, Wait: s.Timing.WatchMs.Duration(), Regions: s.Regions, Dial: plainDial(dialTimeout),
+		Address: s.StoreAddress, Wait: s.Timing.StoreWait(), Regions: s.Regions, Dial: plainDial(dialTimeout),
 	})
 	onStop(lc, cleanUp)
 	return client
@@ -102,7 +102,7 @@
 		rules:           lineRules(s),
 		storeWatchers:   lineStoreWatchers,
 		firstWait:       firstDocumentWait,
-		maxStoreAge:     2 * s.Timing.WatchMs.Duration(),
+		maxStoreAge:     4 * s.Timing.StoreWait(),
 		changePause:     map[book.Kind]time.Duration{book.Hosts: listChangePause, book.Databases: listChangePause, book.Sheet: sheetChangePause},
 		removalDelay:    memberRemovalDelay,
 		settleDelay:     hostSettleDelay,
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -96,7 +96,7 @@
 	if s.Protocol == config.Lines {
 		return newObjects(lc, s)
 	}
-	client, cleanUp := store.New(s.StoreAddress, s.Timing.WatchMs.Duration())
+	client, cleanUp := store.New(s.StoreAddress, s.Timing.StoreWait())
 	onStop(lc, cleanUp)
 	return client
 }
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -125,8 +125,10 @@
 	ConfirmMs Millis
 	// BeatMs is the period between heartbeats to each peer.
 	BeatMs Millis
-	// WatchMs is how long the store keeps a watch request open.
+	// WatchMs is the longest time for which the store keeps a watch request open.
 	WatchMs Millis
+	// ApplyMs is the time within which a new sheet must be in force on every host.
+	ApplyMs Millis
 	// DrainMs is how long a draining proxy waits for open transactions.
 	DrainMs Millis
 	// GraceMs is the time between SIGTERM and the kill of the process, or 0 if it is
@@ -154,6 +156,11 @@
 	return t
 }
 
+// StoreWait returns how long a watch of the store waits for a change. It leaves half of
+// ApplyMs to notice that the connection of the watch went silent, to repeat the watch and to
+// pass the sheet on to the hosts that do not watch the store.
+func (t Timing) StoreWait() time.Duration { return min(t.WatchMs, t.ApplyMs/2).Duration() }
+
 // Default returns the settings that apply to keys missing from a file.
 func Default() Settings {
 	return Settings{
@@ -174,6 +181,7 @@
 			ConfirmMs:    5_000,
 			BeatMs:       1000,
 			WatchMs:      20_000,
+			ApplyMs:      4_000,
 			DrainMs:      20_000,
 			GraceMs:      0,
 			LingerMs:     1,
--- a/internal/ctrl/documents.go
+++ b/internal/ctrl/documents.go
@@ -41,8 +41,8 @@
 	// MaxStoreAge is the time since the last answer of the store to any proxy after which
 	// this one reads the store itself. If it is 0, the answers to others do not matter.
 	MaxStoreAge time.Duration
-	// Retry is the pause after an error of the store. It doubles with each further error,
-	// up to maxRetryFactor times.
+	// Retry is the least time between the starts of two calls after an error of the store. It
+	// doubles with each further error, up to maxRetryFactor times.
 	Retry time.Duration
 	// ChangePause is the pause after a document of a kind changed, so that changes in
 	// quick succession, such as those of hosts that start together, are read together.
@@ -191,7 +191,7 @@
 		case ctx.Err() != nil:
 		default:
 			d.options.Log.Emit(event.StoreFailed, event.Fields{"Op": "watch", "Kind": kind, "WaitedMs": time.Since(began).Milliseconds(), "Cause": err.Error()})
-			duty.Pause(ctx, retry)
+			duty.Pause(ctx, retry-time.Since(began))
 			if !errors.As(err, &missing) {
 				retry = min(2*retry, maxRetryFactor*d.options.Retry)
 			}
--- a/internal/labpf/path_test.go
+++ b/internal/labpf/path_test.go
@@ -97,8 +97,13 @@
 	return settings
 }
 
-func (s *site) start(i int) *app.Proxy {
-	proxy, stop, err := app.New(s.settingsOf(i), s.log)
+func (s *site) start(i int) *app.Proxy { return s.startWith(i, func(*config.Settings) {}) }
+
+// startWith starts the proxy of a number with changed settings.
+func (s *site) startWith(i int, change func(*config.Settings)) *app.Proxy {
+	settings := s.settingsOf(i)
+	change(&settings)
+	proxy, stop, err := app.New(settings, s.log)
 	s.Expect(err).NotTo(HaveOccurred())
 	s.proxies, s.stops = append(s.proxies, proxy), append(s.stops, stop)
 	return proxy
--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -5,83 +5,16 @@
 	"crypto/sha256"
 	"io"
 	"net"
-	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/lablnk"
 	"poplarrouter.example/poplarrouter/internal/peer"
 )
 
-// silentLink forwards connections to a target. Those that are open when it is silenced
-// carry nothing from then on and are never closed, while new ones work.
-type silentLink struct {
-	net.Listener
-	target string
-	mu     sync.Mutex
-	gates  []*sync.Mutex
-}
-
-func newSilentLink(t *testing.T, target string) *silentLink {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	NewWithT(t).Expect(err).NotTo(HaveOccurred())
-	l := &silentLink{Listener: listener, target: target}
-	t.Cleanup(func() { _ = listener.Close() })
-	go l.serve()
-	return l
-}
-
-func (l *silentLink) serve() {
-	for {
-		near, err := l.Accept()
-		if err != nil {
-			return
-		}
-		far, err := net.Dial("tcp", l.target)
-		if err != nil {
-			_ = near.Close()
-			continue
-		}
-		gate := &sync.Mutex{}
-		l.mu.Lock()
-		l.gates = append(l.gates, gate)
-		l.mu.Unlock()
-		go forward(near, far, gate)
-		go forward(far, near, gate)
-	}
-}
-
-// forward copies bytes, and the end of the connection, until the gate is locked for good.
-func forward(from, to net.Conn, gate *sync.Mutex) {
-	buffer := make([]byte, 1<<14)
-	for {
-		n, err := from.Read(buffer)
-		gate.Lock()
-		if n > 0 {
-			_, _ = to.Write(buffer[:n])
-		}
-		if err != nil {
-			_ = to.Close()
-		}
-		gate.Unlock()
-		if err != nil {
-			return
-		}
-	}
-}
-
-// silence stops all open connections.
-func (l *silentLink) silence() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for _, gate := range l.gates {
-		gate.Lock() //nolint:staticcheck // held for good
-	}
-	l.gates = nil
-}
-
 // TestSilentConnectionIsReplaced guards against a document that a proxy never fetches: the
 // connection that it opened to its peer goes silent without a reset, and it keeps sending
 // heartbeats into it.
@@ -90,12 +23,14 @@
 	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "a shared secret")
 	holder, follower := &recorder{}, &recorder{}
 	holder.HandleDoc("", hostsDoc())
-	l := newSilentLink(t, one.Address())
-	two.SetHosts([]book.Host{{Name: "one", PeerAddress: l.Addr().String()}})
+	link, closeLink, err := lablnk.New(one.Address())
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(closeLink)
+	two.SetHosts([]book.Host{{Name: "one", PeerAddress: link.Address()}})
 	t.Cleanup(one.Start(holder))
 	t.Cleanup(two.Start(follower))
 	g.Eventually(func() uint64 { return follower.DocumentSet().Serial(book.Hosts) }).Should(BeEquivalentTo(7))
-	l.silence()
+	link.Silence()
 	holder.HandleDoc("", book.Doc{Kind: book.Hosts, Serial: 8, Body: []byte(`{"Serial":8}`)})
 	g.Eventually(func() uint64 { return follower.DocumentSet().Serial(book.Hosts) }, 10*time.Second).Should(BeEquivalentTo(8))
 }
