--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -13,6 +13,10 @@
 // MaxValue is the size in bytes of the largest value that the store accepts.
 const MaxValue = 1 << 20
 
+// answerTimeout is how long the answer to a call may take, in addition to the time for which
+// a watch waits.
+const answerTimeout = 2 * time.Second
+
 // ObjectPath is the URL path that precedes an object's key.
 const ObjectPath = "/objects/"
 
@@ -41,7 +45,7 @@
 
 // Get implements Store.
 func (h *HTTP) Get(ctx context.Context, key string) (Object, error) {
-	return h.read(ctx, "get", key, nil)
+	return h.read(ctx, "get", key, nil, answerTimeout)
 }
 
 // Watch implements Store.
@@ -49,7 +53,7 @@
 	query := url.Values{}
 	query.Set(ParamSeen, string(seen))
 	query.Set(ParamWait, strconv.FormatInt(h.wait.Milliseconds(), 10))
-	return h.read(ctx, "watch", key, query)
+	return h.read(ctx, "watch", key, query, h.wait+answerTimeout)
 }
 
 // Put implements Store.
@@ -57,6 +61,8 @@
 	if len(value) > MaxValue {
 		return "", &SizeError{Key: key, Got: len(value), Max: MaxValue}
 	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodPut, h.url(key, nil), bytes.NewReader(value))
 	if err != nil {
 		return "", err
@@ -66,7 +72,7 @@
 	} else {
 		request.Header.Set("If-Match", string(previous))
 	}
-	response, err := h.client.Do(request)
+	response, err := h.do(request)
 	if err != nil {
 		return "", err
 	}
@@ -81,12 +87,24 @@
 	}
 }
 
-func (h *HTTP) read(ctx context.Context, op, key string, query url.Values) (Object, error) {
+// do sends a request. If there is no answer, it also closes the idle connections, because
+// the fault that broke this connection may have broken them too.
+func (h *HTTP) do(request *http.Request) (*http.Response, error) {
+	response, err := h.client.Do(request)
+	if err != nil {
+		h.client.CloseIdleConnections()
+	}
+	return response, err
+}
+
+func (h *HTTP) read(ctx context.Context, op, key string, query url.Values, timeout time.Duration) (Object, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, h.url(key, query), http.NoBody)
 	if err != nil {
 		return Object{}, err
 	}
-	response, err := h.client.Do(request)
+	response, err := h.do(request)
 	if err != nil {
 		return Object{}, err
 	}
