Exchange sheets of configurations that are nearly 1 MiB large

The store takes a configuration of 1 MiB. Only the hosts that watch the store would have had the sheet; the others keep the one before for good. The limit of a document is now its own, 4 MiB. TestSheetOfTheLargestConfigurationIsExchanged failed before.

--- a/internal/peer/docs.go
+++ b/internal/peer/docs.go
@@ -49,15 +49,19 @@
 	return DocFrame{Kind: doc.Kind, Serial: doc.Serial, Deflated: buffer.Bytes()}, nil
 }
 
+// maxDocument is the size in bytes of the largest document. A sheet is larger than the
+// configuration of which it was made, because its rows spell out every column.
+const maxDocument = 4 << 20
+
 // Doc returns the document. It returns a *FrameError if the body is not valid DEFLATE data
-// or is larger than MaxFrame bytes.
+// or is larger than maxDocument.
 func (f DocFrame) Doc() (book.Doc, error) {
-	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(f.Deflated)), MaxFrame+1))
+	body, err := io.ReadAll(io.LimitReader(flate.NewReader(bytes.NewReader(f.Deflated)), maxDocument+1))
 	if err != nil {
 		return book.Doc{}, &FrameError{Got: err.Error(), Want: "a compressed document"}
 	}
-	if len(body) > MaxFrame {
-		return book.Doc{}, &FrameError{Got: fmt.Sprintf("a document of more than %d bytes", MaxFrame), Want: "a smaller one"}
+	if len(body) > maxDocument {
+		return book.Doc{}, &FrameError{Got: fmt.Sprintf("a document of more than %d bytes", maxDocument), Want: "a smaller one"}
 	}
 	return book.Doc{Kind: f.Kind, Serial: f.Serial, Body: body}, nil
 }
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -1,9 +1,11 @@
 package peer_test
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -133,3 +135,19 @@
 	time.Sleep(40 * heartbeatInterval)
 	g.Expect(target.count.Load()).To(BeNumerically("<=", 1))
 }
+
+// TestSheetOfTheLargestConfigurationIsExchanged guards against a sheet that only the hosts
+// which watch the store have: the store takes a configuration of 1 MiB, whose sheet is larger
+// than a frame before it is compressed.
+func TestSheetOfTheLargestConfigurationIsExchanged(t *testing.T) {
+	g := NewWithT(t)
+	const size = 3 << 19
+	doc := book.Doc{Kind: book.Sheet, Serial: 9, Body: []byte(`{"Serial":9,"CSV":"` + strings.Repeat("row ", size/4) + `"}`)}
+	frame, err := peer.NewDocFrame(doc)
+	g.Expect(err).NotTo(HaveOccurred())
+	raw, err := peer.Encode(peer.Frame{Doc: &frame})
+	g.Expect(err).NotTo(HaveOccurred())
+	received, err := peer.Decode(bytes.NewReader(raw), peer.MaxFrame)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(received.Doc.Doc()).To(Equal(doc))
+}
