Fetch a document again that was received but dropped

A proxy counted a document as received before it was queued, and never fetched that serial again: one that found the queue full was lost until the next change. TestDroppedDocumentIsFetchedAgain failed before (serial 0 after 5 s, want 7).

--- a/internal/peer/docs.go
+++ b/internal/peer/docs.go
@@ -74,21 +74,29 @@
 // time. It is not safe for concurrent use.
 type transfers struct {
 	// fetchedAt is the time of the last fetch of a kind that was not answered yet, and
-	// received is the serial of the last answer.
+	// received is the last answer.
 	fetchedAt map[book.Kind]time.Time
-	received  map[book.Kind]uint64
+	received  map[book.Kind]receipt
 	// frames are the documents that were sent last.
 	frames map[book.Kind]DocFrame
 }
 
+// receipt records that a document was received.
+type receipt struct {
+	serial uint64
+	at     time.Time
+}
+
 func newTransfers() transfers {
-	return transfers{fetchedAt: make(map[book.Kind]time.Time), received: make(map[book.Kind]uint64), frames: make(map[book.Kind]DocFrame)}
+	return transfers{fetchedAt: make(map[book.Kind]time.Time), received: make(map[book.Kind]receipt), frames: make(map[book.Kind]DocFrame)}
 }
 
-// begin reports whether an offered document is to be fetched now.
+// begin reports whether an offered document is to be fetched now. One that was received but
+// is not in force after fetchTimeout was dropped, and is fetched again.
 func (t transfers) begin(o Offer, now time.Time) bool {
 	at, fetching := t.fetchedAt[o.Kind]
-	if o.Serial <= t.received[o.Kind] || fetching && now.Sub(at) < fetchTimeout {
+	last := t.received[o.Kind]
+	if o.Serial <= last.serial && now.Sub(last.at) < fetchTimeout || fetching && now.Sub(at) < fetchTimeout {
 		return false
 	}
 	t.fetchedAt[o.Kind] = now
@@ -96,9 +104,9 @@
 }
 
 // end records that a document was received.
-func (t transfers) end(f DocFrame) {
+func (t transfers) end(f DocFrame, now time.Time) {
 	delete(t.fetchedAt, f.Kind)
-	t.received[f.Kind] = max(t.received[f.Kind], f.Serial)
+	t.received[f.Kind] = receipt{serial: max(t.received[f.Kind].serial, f.Serial), at: now}
 }
 
 // answerHeartbeat offers the peer the documents of which it has no copy or an older one, and
@@ -161,7 +169,7 @@
 		return
 	}
 	m.mu.Lock()
-	m.transfers.end(f)
+	m.transfers.end(f, time.Now())
 	m.mu.Unlock()
 	m.handler.HandleDoc(host, doc)
 }
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -151,3 +151,28 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(received.Doc.Doc()).To(Equal(doc))
 }
+
+// busyOnce is a recorder that drops the first document, as a proxy does whose queue is full.
+type busyOnce struct {
+	recorder
+	dropped atomic.Bool
+}
+
+func (b *busyOnce) HandleDoc(host string, doc book.Doc) {
+	if b.dropped.Swap(true) {
+		b.recorder.HandleDoc(host, doc)
+	}
+}
+
+// TestDroppedDocumentIsFetchedAgain guards against a proxy that keeps an old sheet because it
+// counts a document as received that found no room in its queue.
+func TestDroppedDocumentIsFetchedAgain(t *testing.T) {
+	g := NewWithT(t)
+	one, two := newConnections(t, "one", "a shared secret"), newConnections(t, "two", "a shared secret")
+	holder, busy := &recorder{}, &busyOnce{}
+	holder.HandleDoc("", hostsDoc())
+	two.SetHosts([]book.Host{{Name: "one", PeerAddress: one.Address()}})
+	t.Cleanup(one.Start(holder))
+	t.Cleanup(two.Start(busy))
+	g.Eventually(func() uint64 { return busy.DocumentSet().Serial(book.Hosts) }, 5*time.Second).Should(BeEquivalentTo(7))
+}
