List the store again after it was restored from a copy

A watch from a revision that was given out again reports only what follows it, so a host keeps a list or a sheet that misses the changes below; a list whose serial is not above the present one is not taken by the host itself or its peers, until the revisions have caught up.

The stand-in of the platform's store has eras, copies and restores.

--- a/internal/labpf/objects.go
+++ b/internal/labpf/objects.go
@@ -37,11 +37,19 @@
 	dropped uint64
 	changed chan struct{}
 	down    bool
+	// era is the number of the copy that the store serves.
+	era uint64
+}
+
+// Copy is the state of a store at one time.
+type Copy struct {
+	revision uint64
+	kinds    map[string]map[string]object
 }
 
 // NewObjects returns an empty store.
 func NewObjects() *Objects {
-	return &Objects{revision: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
+	return &Objects{revision: 1, era: 1, kinds: make(map[string]map[string]object), changed: make(chan struct{})}
 }
 
 // SetDown makes the store refuse all calls, or serve them again.
@@ -60,6 +68,31 @@
 	s.wake()
 }
 
+// Copy returns a copy of the store.
+func (s *Objects) Copy() Copy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c := Copy{revision: s.revision, kinds: make(map[string]map[string]object)}
+	for kind, objects := range s.kinds {
+		c.kinds[kind] = maps.Clone(objects)
+	}
+	return c
+}
+
+// Restore replaces the contents by a copy, as after the loss of a store. Revisions above that
+// of the copy are given out again.
+func (s *Objects) Restore(c Copy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kinds = make(map[string]map[string]object)
+	for kind, objects := range c.kinds {
+		s.kinds[kind] = maps.Clone(objects)
+	}
+	s.revision, s.history, s.dropped = c.revision, nil, 0
+	s.era++
+	s.wake()
+}
+
 // Put writes an object as the operator or a database does.
 func (s *Objects) Put(kind, name string, spec any) {
 	raw, err := json.Marshal(spec)
@@ -111,6 +144,7 @@
 	kind, name, _ := strings.Cut(strings.TrimPrefix(r.URL.Path, "/poplarrouter/objects/"), "/")
 	s.mu.Lock()
 	down := s.down
+	w.Header().Set("Store-Era", strconv.FormatUint(s.era, 10))
 	s.mu.Unlock()
 	switch {
 	case down:
@@ -159,7 +193,7 @@
 	over := time.After(time.Duration(wait) * time.Millisecond)
 	for {
 		s.mu.Lock()
-		events, at, gone, changed := s.since(kind, since), s.revision, since < s.dropped, s.changed
+		events, at, gone, changed := s.since(kind, since), s.revision, since < s.dropped || since > s.revision, s.changed
 		s.mu.Unlock()
 		if gone {
 			w.WriteHeader(http.StatusGone)
