Register a host again that the store has lost

A store that is restored from a copy of some seconds before loses the entries of the hosts that started since, and they stayed unlisted until their next start: no peer connects to them, they own no database, and the platform's balancer still sends them callers.

Change: a host watches the list and registers again when it has no entry of its name, or has shown none ten seconds after it was written.

TestHostThatARestoredStoreLostRegistersAgain failed before (front-2 missing after 5 s) and passes now.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -66,8 +66,8 @@
 	return documents.Book()
 }
 
-// hostListed reports whether the list of hosts has the given entry.
-func (l *lateParts) hostListed(ctx context.Context, host book.Host) bool {
+// HostListed implements ctrl.HostList.
+func (l *lateParts) HostListed(ctx context.Context, host book.Host) bool {
 	select {
 	case <-l.bound:
 		return l.documents.HostListed(ctx, host)
@@ -76,6 +76,15 @@
 	}
 }
 
+// AwaitUnlisted implements ctrl.HostList.
+func (l *lateParts) AwaitUnlisted(ctx context.Context, host string) {
+	select {
+	case <-l.bound:
+		l.documents.AwaitUnlisted(ctx, host)
+	case <-ctx.Done():
+	}
+}
+
 // pool returns the connection pool of a member.
 func (l *lateParts) pool(m view.Member) *member.Pool {
 	controllers, _ := l.get()
@@ -88,7 +97,7 @@
 	l := &lateParts{bound: make(chan struct{})}
 	promoter, closePromoter := memb.NewPromoter(s.PromoteAddress, s.Host, plainDial(dialTimeout))
 	onStop(lc, closePromoter)
-	onStop(lc, ctrl.Register(st, log, hostOf(s, mesh.Address()), storeRetry, l.hostListed))
+	onStop(lc, ctrl.Register(st, log, hostOf(s, mesh.Address()), storeRetry, l))
 	shares := share.New(share.Options{
 		Host: s.Host, Region: s.Region, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
--- a/internal/ctrl/documents.go
+++ b/internal/ctrl/documents.go
@@ -77,6 +77,8 @@
 	unknownAge = time.Hour
 )
 
+var _ HostList = (*Documents)(nil)
+
 // NewDocuments starts the background tasks and returns the documents with their clean-up
 // function.
 func NewDocuments(options DocumentsOptions) (*Documents, func()) {
@@ -203,13 +205,28 @@
 // awaitListed waits until the list of hosts contains this proxy, for at most FirstWait.
 // Before that the proxy cannot tell whether it is one of the store's watchers.
 func (d *Documents) awaitListed(ctx context.Context) {
-	d.await(ctx, d.options.FirstWait, func(b book.DocumentSet) bool {
-		return slices.ContainsFunc(b.Hosts(), func(h book.Host) bool { return h.Name == d.options.Host })
-	})
+	d.await(ctx, d.options.FirstWait, func(b book.DocumentSet) bool { return lists(b, d.options.Host) })
+}
+
+// entryTimeout is how long the list of hosts may lack an entry that was registered. Stale
+// answers of the store and the pauses of its watchers delay it by a few seconds.
+const entryTimeout = 10 * time.Second
+
+// AwaitUnlisted implements HostList.
+func (d *Documents) AwaitUnlisted(ctx context.Context, host string) {
+	d.await(ctx, entryTimeout, func(b book.DocumentSet) bool { return lists(b, host) })
+	for ctx.Err() == nil && lists(d.Book(), host) {
+		d.await(ctx, checkPeriod, func(b book.DocumentSet) bool { return !lists(b, host) })
+	}
+}
+
+// lists reports whether the list of hosts has an entry of a host.
+func lists(b book.DocumentSet, host string) bool {
+	return slices.ContainsFunc(b.Hosts(), func(h book.Host) bool { return h.Name == host })
 }
 
 // HostListed waits for the list of hosts, for at most FirstWait, and reports whether it
-// has exactly the given entry.
+// has exactly the given entry. It implements HostList.
 func (d *Documents) HostListed(ctx context.Context, host book.Host) bool {
 	d.await(ctx, d.options.FirstWait, func(b book.DocumentSet) bool { return b.Serial(book.Hosts) > 0 })
 	return slices.Contains(d.Book().Hosts(), host)
--- a/internal/labpf/objects.go
+++ b/internal/labpf/objects.go
@@ -104,6 +104,13 @@
 	s.put(kind, object{Meta: meta{Name: name}, Spec: raw})
 }
 
+// Names returns the names of all objects of a kind, sorted.
+func (s *Objects) Names(kind string) []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return slices.Sorted(maps.Keys(s.kinds[kind]))
+}
+
 // Delete removes an object.
 func (s *Objects) Delete(kind, name string) {
 	s.mu.Lock()
