--- a/internal/labpf/restored_test.go
+++ b/internal/labpf/restored_test.go
@@ -31,7 +31,7 @@
 	s.platform.SetDown(false)
 	s.Expect(hosts()).To(ConsistOf("front-1"))
 	s.Eventually(hosts, restoreTime).Should(ConsistOf("front-1", "front-2"))
-	s.Expect(s.log.with(`"Name":"host-enrolled"`)).To(HaveLen(3))
+	s.Eventually(func() []string { return s.log.with(`"Name":"host-enrolled"`) }, patience).Should(HaveLen(3))
 }
 
 // TestSheetsAfterARestoreAreInForce guards against a route that is confirmed right after the
