Log entries of other writers that are left out of a list

Entries of the list of databases that do not decode or are not complete were skipped without a word. 604 (entry-ignored) names the entry and the reason, once for each of its states.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -32,9 +32,12 @@
 // dialTimeout limits the time to open a connection to the store or the platform.
 const dialTimeout = time.Second
 
-func newObjects(lc fx.Lifecycle, s config.Settings) store.Store {
+func newObjects(lc fx.Lifecycle, s config.Settings, log *event.Log) store.Store {
 	client, cleanUp := objst.New(objst.Options{
 		Address: s.StoreAddress, Wait: s.Timing.StoreWait(), Regions: s.Regions, Dial: plainDial(dialTimeout),
+		OnIgnored: func(kind, name string, cause error) {
+			log.Emit(event.EntryIgnored, event.Fields{"Kind": kind, "Entry": name, "Cause": cause.Error()})
+		},
 	})
 	onStop(lc, cleanUp)
 	return client
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -92,9 +92,9 @@
 func (noDemand) TakeWants(string, map[string]int) {}
 
 // newStore returns a client of the platform's store.
-func newStore(lc fx.Lifecycle, s config.Settings) store.Store {
+func newStore(lc fx.Lifecycle, s config.Settings, log *event.Log) store.Store {
 	if s.Protocol == config.Lines {
-		return newObjects(lc, s)
+		return newObjects(lc, s, log)
 	}
 	client, cleanUp := store.New(s.StoreAddress, s.Timing.StoreWait())
 	onStop(lc, cleanUp)
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -48,6 +48,7 @@
 	SheetInForce       Event = 601
 	SheetRefused       Event = 602
 	DatabasesChanged   Event = 603
+	EntryIgnored       Event = 604
 	PeerJoined         Event = 701
 	PeerLeft           Event = 702
 	PeerDenied         Event = 703
@@ -100,6 +101,7 @@
 	SheetInForce:       {"sheet-in-force", logrus.InfoLevel},
 	SheetRefused:       {"sheet-refused", logrus.ErrorLevel},
 	DatabasesChanged:   {"databases-changed", logrus.InfoLevel},
+	EntryIgnored:       {"entry-ignored", logrus.WarnLevel},
 	PeerJoined:         {"peer-joined", logrus.InfoLevel},
 	PeerLeft:           {"peer-left", logrus.WarnLevel},
 	PeerDenied:         {"peer-denied", logrus.WarnLevel},
