--- a/internal/peer/silent_test.go
+++ b/internal/peer/silent_test.go
@@ -1,6 +1,7 @@
 package peer_test
 
 import (
+	"bytes"
 	"crypto/hmac"
 	"crypto/sha256"
 	"io"
@@ -88,3 +89,14 @@
 	mac.Write([]byte("welcome\x00old"))
 	return send(peer.Frame{Welcome: &peer.Welcome{Host: "old", Proof: mac.Sum(nil)}})
 }
+
+// TestFieldsOfALaterReleaseAreIgnored guards the connections between proxies of two releases:
+// a frame of a kind that this one does not know must not end the connection.
+func TestFieldsOfALaterReleaseAreIgnored(t *testing.T) {
+	g := NewWithT(t)
+	raw, err := peer.EncodeArray(map[string]any{"Unknown": true})
+	g.Expect(err).NotTo(HaveOccurred())
+	f, err := peer.Decode(bytes.NewReader(raw), peer.MaxFrame)
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(f).To(Equal(peer.Frame{}))
+}
