--- a/review/build.sh
+++ b/review/build.sh
@@ -3,3 +3,4 @@
 set -e
 cd "$(dirname "$0")/.."
 go build -tags review -o target/review-case3 ./review/3
+go build -tags review -o target/review-case5 ./review/5
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -4,12 +4,15 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -68,6 +71,12 @@
 	_ = p.cmd.Wait()
 }
 
+// Freeze stops the process, and Wake continues it.
+func (p *Proxy) Freeze() { _ = p.cmd.Process.Signal(syscall.SIGSTOP) }
+
+// Wake continues the process.
+func (p *Proxy) Wake() { _ = p.cmd.Process.Signal(syscall.SIGCONT) }
+
 // Ready reports whether the proxy says that it is ready.
 func (p *Proxy) Ready() bool {
 	client := http.Client{Timeout: time.Second}
@@ -93,18 +102,33 @@
 	return nil
 }
 
+// The ports of proxies lie below those that the system gives to outgoing connections.
+const (
+	firstPort = 20_000
+	lastPort  = 32_000
+)
+
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
 // freeAddresses returns loopback addresses with ports that are free now.
 func freeAddresses(n int) ([]string, error) {
 	var list []string
-	for range n {
-		listener, err := net.Listen("tcp", "127.0.0.1:0")
+	for range lastPort - firstPort {
+		nextPort++
+		if nextPort >= lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprint("127.0.0.1:", nextPort)
+		listener, err := net.Listen("tcp", address)
 		if err != nil {
-			return nil, err
+			continue
+		}
+		_ = listener.Close()
+		if list = append(list, address); len(list) == n {
+			return list, nil
 		}
-		defer func() { _ = listener.Close() }()
-		list = append(list, listener.Addr().String())
 	}
-	return list, nil
+	return nil, errors.New("no free ports")
 }
 
 // ServeCloud starts the platform's call that promotes.
--- a/review/lab/group.go
+++ b/review/lab/group.go
@@ -31,7 +31,11 @@
 	PromoteDelay time.Duration
 	Work         time.Duration
 	MaxConns     int
-	Record       *Record
+	// CloudDelay is how long the answer to an order takes. OnOrder, if set, is called when
+	// an order has arrived.
+	CloudDelay time.Duration
+	OnOrder    func(holder string, token uint64)
+	Record     *Record
 
 	mu      sync.Mutex
 	members []*Member
@@ -55,6 +59,24 @@
 	held     uint64
 	leads    bool
 	conns    map[net.Conn]struct{}
+	down     bool
+}
+
+// Crash ends the process of the member that leads.
+func (g *Group) Crash() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, m := range g.members {
+		if !m.leads || m.term != g.term {
+			continue
+		}
+		g.Record.Addf("%s, the primary, crashes", m.Name)
+		m.down = true
+		_ = m.listener.Close()
+		for conn := range m.conns {
+			_ = conn.Close()
+		}
+	}
 }
 
 // Add starts a member and registers it in the store.
@@ -113,7 +135,7 @@
 		time.AfterFunc(g.NetDelay, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
-			if !m.leads || m.term != term || other.held > term || other.term > term {
+			if !m.leads || m.term != term || other.held > term || other.term > term || m.down || other.down {
 				return
 			}
 			if len(other.log) < upTo {
@@ -138,9 +160,14 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
+	holder := r.Header.Get("X-Duty-Holder")
+	g.Record.Addf("POST /promote id=%s holder=%s token=%d", order.ID, holder, token)
+	if g.OnOrder != nil {
+		g.OnOrder(holder, token)
+	}
+	defer time.Sleep(g.CloudDelay)
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.Record.Addf("promote %s holder=%s token=%d", order.ID, r.Header.Get("X-Duty-Holder"), token)
 	if token < g.tokens[order.Service] {
 		w.WriteHeader(http.StatusConflict)
 		return
@@ -150,7 +177,7 @@
 	}
 	g.tokens[order.Service] = token
 	for _, m := range g.members {
-		if m.Name == order.ID && order.Service == g.Service {
+		if m.Name == order.ID && order.Service == g.Service && !m.down {
 			if !m.leads {
 				time.AfterFunc(g.PromoteDelay, func() { g.lead(m) })
 			}
