--- a/review/5/main.go
+++ b/review/5/main.go
@@ -40,6 +40,7 @@
 	path := flag.String("record", "record.txt", "the record")
 	trouble := flag.Bool("trouble", true, "freeze a proxy")
 	flag.Parse()
+	lab.KillOnSignal(cannot)
 	record, err := lab.NewRecord(*path)
 	if err != nil {
 		fmt.Println(err)
--- a/review/lab/fleet.go
+++ b/review/lab/fleet.go
@@ -11,7 +11,9 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -30,6 +32,25 @@
 	cmd    *exec.Cmd
 }
 
+var (
+	startedMu sync.Mutex
+	started   []*os.Process
+)
+
+// KillOnSignal ends all proxies and this process with the given code when it is told to stop.
+func KillOnSignal(code int) {
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGINT, syscall.SIGTERM)
+	go func() {
+		<-stop
+		startedMu.Lock()
+		for _, p := range started {
+			_ = p.Kill()
+		}
+		os.Exit(code)
+	}()
+}
+
 // StartProxy starts a proxy with the command of the deploy file and settings that the
 // template would give.
 func StartProxy(folder, name, zone, store, cloud string) (*Proxy, error) {
@@ -62,7 +83,13 @@
 	p := &Proxy{Name: name, Caller: addresses[0], ready: addresses[1], cmd: exec.Command("target/poplarrouter", "serve")}
 	p.cmd.Env = append(os.Environ(), "POPLARROUTER_NODE_FILE="+path)
 	p.cmd.Stdout, p.cmd.Stderr = out, out
-	return p, p.cmd.Start()
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	if err := p.cmd.Start(); err != nil {
+		return nil, err
+	}
+	started = append(started, p.cmd.Process)
+	return p, nil
 }
 
 // Kill ends the process.
