Ask all replicas when the former primary has left the list

Cause: without the former primary's promise, all other listed members have to promise, since any of them may be the only holder of an acknowledged commit. The count assumed that the former primary is still listed.

Change: the members other than the former primary are counted by name.

Evidence: TestAllReplicasPromiseAfterTheFormerPrimaryHasLeft, which fails without the change, guards against that lost commit.

--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -212,13 +212,16 @@
 // other one. Where an entry is acknowledged once a single replica holds it, this takes
 // the former primary or all replicas.
 func (m Machine) quorumPromised(v view.View) bool {
-	members, promised := v.Members(), 0
+	members, promised, replicas := v.Members(), 0, 0
 	for _, member := range members {
 		if _, found := m.fenced[member.Name]; found {
 			promised++
 		}
+		if member.Name != m.former {
+			replicas++
+		}
 	}
-	if m.rules.SharedTerms && !m.formerPromised() && promised < len(members)-1 {
+	if m.rules.SharedTerms && !m.formerPromised() && promised < replicas {
 		return false
 	}
 	return promised >= group.Majority(len(members))
--- a/internal/elect/forget_test.go
+++ b/internal/elect/forget_test.go
@@ -109,6 +109,23 @@
 	a.Expect(a.promise("d", 12)).To(Equal("promote d 2"))
 }
 
+// TestAllReplicasPromiseAfterTheFormerPrimaryHasLeft guards against a lost commit: the
+// primary is gone from the list, and the replica that does not answer may be the only one
+// that holds an acknowledged entry.
+func TestAllReplicasPromiseAfterTheFormerPrimaryHasLeft(t *testing.T) {
+	a := newAttempt(t)
+	a.view = a.view.WithMembers([]view.Member{{Name: "b"}, {Name: "c"}, {Name: "d"}})
+	a.Expect(a.step(time.Millisecond, elect.Event{})).To(Equal("fence d 2"))
+	a.promise("b", 10)
+	a.promise("c", 10)
+	a.Expect(a.step(1100*time.Millisecond, elect.Event{})).To(BeEmpty(), "d has not promised")
+	a.promise("d", 11)
+	a.step(1100*time.Millisecond, elect.Event{})
+	a.promise("b", 10)
+	a.promise("c", 10)
+	a.Expect(a.promise("d", 11)).To(Equal("promote d 2"))
+}
+
 // TestHandoverTargetHoldsWhatALeavingReplicaHad guards against a lost commit: during a
 // planned handover the replica that alone received the last entries leaves the list.
 func TestHandoverTargetHoldsWhatALeavingReplicaHad(t *testing.T) {
