Make fencing tokens unique by the proxy's address

Cause: a token ended in 12 bits of a hash of the host's name. Two of nine voters share them with a chance of 0.9 %; if both claim within the same 1/32 s, their tokens are equal.

Change: a token ends in the IPv4 address at which peers reach the proxy, which no two machines share; on a loopback address the port takes part, because all proxies there are on one machine. No store and no list is needed. The settings refuse an address that would not do.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -199,7 +199,7 @@
 			ActivePoll:  p.activePoll,
 			MaxProofAge: p.maxProofAge,
 			FenceBelow:  p.fenceBelow,
-			Tokens:      ctrl.NewTokens(s.Host),
+			Tokens:      p.tokens,
 			Log:         log,
 			Trace:       s.TraceElections,
 		},
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -96,7 +96,11 @@
 
 // newLineParts returns the parts for members that use the line protocol of typed
 // statements.
-func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) *protocolParts {
+func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) (*protocolParts, error) {
+	tokens, err := ctrl.NewTokens(mesh.Address())
+	if err != nil {
+		return nil, err
+	}
 	l := &lateParts{bound: make(chan struct{})}
 	promoter, closePromoter := memb.NewPromoter(s.PromoteAddress, s.Host, plainDial(dialTimeout))
 	onStop(lc, closePromoter)
@@ -121,6 +125,7 @@
 		leadershipLease: readLease,
 		activePoll:      lineActivePoll,
 		maxProofAge:     readLease * 7 / 10,
+		tokens:          tokens,
 		fenceBelow: func(ctx context.Context, database string, token uint64) error {
 			return flow.InvalidateLowerTokens(ctx, promoter, database, token)
 		},
@@ -157,7 +162,7 @@
 			Promoter: promoter,
 		})
 	}
-	return p
+	return p, nil
 }
 
 const (
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -69,7 +69,9 @@
 	// maxProofAge is the age at which a proof of leadership is renewed.
 	activePoll  time.Duration
 	maxProofAge time.Duration
-	// fenceBelow ensures that no promotion command with an earlier token is executed.
+	// tokens generates the tokens of claims, and fenceBelow ensures that no promotion command
+	// with an earlier token is executed. Both are nil if members refuse such commands.
+	tokens      *ctrl.Tokens
 	fenceBelow  func(ctx context.Context, database string, token uint64) error
 	replicaWait time.Duration
 }
@@ -102,11 +104,11 @@
 }
 
 // newProtocolParts returns the parts for the protocol in the settings.
-func newProtocolParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) *protocolParts {
+func newProtocolParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) (*protocolParts, error) {
 	if s.Protocol == config.Lines {
 		return newLineParts(lc, s, st, log, mesh, bytes)
 	}
-	return newPostgresParts(s, bytes)
+	return newPostgresParts(s, bytes), nil
 }
 
 // With the PostgreSQL protocol, an answer that arrives up to postgresAnswerGrace after
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -166,6 +166,10 @@
 	case PostgreSQL:
 	case Lines:
 		c.address("PromoteAddress", s.PromoteAddress)
+		if peer, err := netip.ParseAddrPort(s.PeerAddress); err == nil && (!peer.Addr().Is4() || peer.Addr().IsUnspecified()) {
+			// Promotions are told apart by the address of the proxy that orders them.
+			c.fail("PeerAddress", strconv.Quote(s.PeerAddress), "an IPv4 address that no other proxy has")
+		}
 		if s.Regions[s.DataCentre] == "" {
 			c.fail("Regions", "no region of "+strconv.Quote(s.DataCentre), "the region of each data centre")
 		}
--- a/internal/ctrl/promotion.go
+++ b/internal/ctrl/promotion.go
@@ -158,6 +158,9 @@
 		c.options.Log.Emit(event.FenceAnswered, event.Fields{
 			"Database": c.name, "Member": o.Member, "Term": o.Claim.Term, "Refused": answer.Refused, "Failed": answer.Failed,
 		})
+		if answer.Refused && c.options.Tokens != nil && !c.View().Silent(o.Member) {
+			c.options.Tokens.Outranked(o.Claim.Term)
+		}
 		if err == nil {
 			c.inputs.Offer(trace.Input{Report: &view.Report{Member: o.Member, SentAt: asked, ReceivedAt: time.Now(), State: state}})
 		}
