--- a/internal/labpf/labpf.go
+++ b/internal/labpf/labpf.go
@@ -113,8 +113,12 @@
 			return err
 		}
 	}
+	role := "replica"
+	if i == 0 {
+		role = "primary"
+	}
 	p.Put("servers", m.name, map[string]any{
-		"service": Database, "address": address, "zone": DataCentre(i), "version": "v1", "slots": 5, "state": "ready", "seq": 1,
+		"service": Database, "address": address, "zone": DataCentre(i), "version": "v1", "slots": 5, "state": "ready", "db_role": role, "seq": 1,
 	})
 	return nil
 }
