End a relayed transaction whose statement cannot be relayed

Cause: a statement that is too large to be relayed fails at the proxy that relays. Its outcome is "not run", and the connection to the owner was therefore used again, although the owner still held the open transaction for it. The next caller's job ran in that transaction.

Change: a relay connection whose transaction ended with a fault is closed, which rolls the transaction back. An owner also compares the job's session with the transaction that it holds: it rolls back one that does not belong to the job, and refuses a job whose transaction it does not hold.

Each of the two halves alone makes it pass.

--- a/internal/chain/relay.go
+++ b/internal/chain/relay.go
@@ -100,7 +100,8 @@
 	switch {
 	case err != nil:
 		r.Lease = nil
-		remote.Release(fault.FromError(err).Kind.Outcome() == fault.NotRun)
+		// The owner may still hold an open transaction, which ends with the connection.
+		remote.Release(!r.pinned && fault.FromError(err).Kind.Outcome() == fault.NotRun)
 		if fault.FromError(err).Kind.Outcome() == fault.Unknown {
 			r.sends++
 		}
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -31,6 +31,11 @@
 // Idle reports whether no transaction is open after the statement.
 func (x *Exchange) Idle() bool { return x.session.Phase == stmt.Idle }
 
+// InTransaction reports whether a transaction is open at a member.
+func (x *Exchange) InTransaction() bool {
+	return x.session.Phase == stmt.Open || x.session.Phase == stmt.Failed
+}
+
 // Reply returns the reply to the statement.
 func (x *Exchange) Reply() Reply { return x.reply }
 
--- a/internal/labpf/relay_test.go
+++ b/internal/labpf/relay_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -149,3 +150,26 @@
 	s.Expect(s.does(c, "READ k")).To(Equal("after"))
 	s.Expect(s.platform.Count("inside")).To(BeZero())
 }
+
+// TestAStatementTooLargeToRelayEndsItsTransaction guards against a write that runs inside the
+// transaction of another caller: the relay connection was used again although its owner
+// still held the transaction, and the write was acknowledged and rolled back.
+func TestAStatementTooLargeToRelayEndsItsTransaction(t *testing.T) {
+	s, _, others := newFleet(t)
+	a := s.enter(others[0], labpf.Session)
+	s.comes(a, "WRITE k before")
+	s.does(a, "PREPARE p WRITE q2c")
+	s.does(a, "BEGIN")
+	s.does(a, "WRITE k inside")
+	_, code, state, err := a.ask("EXECUTE p k " + strings.Repeat("x", 600<<10))
+	s.Expect(err).NotTo(HaveOccurred())
+	s.Expect([]string{code, state}).To(Equal([]string{"ABORTED", "E"}))
+	s.does(a, "ROLLBACK")
+	// Callers take turns at the homes.
+	for i := range 3 * place.OwnerCount {
+		value := fmt.Sprint("alone", i)
+		s.comes(s.enter(others[0], labpf.Session), "WRITE k "+value)
+		s.Expect(s.platform.Count(value)).To(Equal(1), "the write is committed, not part of a transaction")
+	}
+	s.Expect(s.platform.Count("inside")).To(BeZero())
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -70,6 +70,13 @@
 	defer s.EndRequest()
 	s.Caller.Service, s.Caller.Name = job.Service, job.Caller
 	x := job.Payload.Exchange()
+	if s.Pinned() && !x.InTransaction() {
+		// The transaction belongs to an earlier job, whose caller no longer uses it.
+		s.Rollback()
+	}
+	if !s.Pinned() && x.InTransaction() {
+		return Outcome{Failed: true, Fault: fault.Undispatched, Text: "the transaction is not open at this proxy", Draining: s.DrainStarted()}
+	}
 	r := &chain.Request{
 		Name: job.Request, Exchange: x, Floor: job.Floor, Arrived: time.Now().Add(-job.Waited),
 		Relayed: true, Work: job.Work, Replicated: job.Replicated, LastAttempt: job.LastAttempt,
