--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -140,10 +140,10 @@
 
 func (m Machine) fencing(now time.Time, v view.View, e Event) (Machine, []Action) {
 	if a := e.Answer; a != nil && a.Term == m.claim.Term {
-		if a.Refused {
+		switch {
+		case a.Refused:
 			return m.abandon(now.Add(m.rules.AttemptTimeout), AttemptFailed)
-		}
-		if m.termStarted(*a) {
+		case m.termStarted(*a):
 			return m.abandon(now.Add(m.rules.AttemptTimeout), ClaimLost)
 		}
 		m = m.withFenceAnswer(now, *a)
@@ -155,6 +155,11 @@
 	if m, orders := m.refence(now, v); len(orders) > 0 {
 		return m, orders
 	}
+	return m.proceed(now, v)
+}
+
+// proceed takes the next step of an attempt that waits for no order to be repeated.
+func (m Machine) proceed(now time.Time, v view.View) (Machine, []Action) {
 	if m.target != "" && m.rules.SharedTerms {
 		return m.awaitTargetInService(v)
 	}
@@ -166,21 +171,31 @@
 		return m, nil
 	}
 	if m.rules.SharedTerms && !m.formerPromised() {
-		if m.verified == nil {
-			m.verified = make(map[string]bool)
-			return m, m.fencePromised()
-		}
-		if len(m.verified) < len(m.fenced) {
-			return m, nil
-		}
+		return m.verify(v)
 	}
+	return m.promoteLongest(v)
+}
+
+// verify asks the members that have promised again, and promotes one of them once all have
+// repeated their promises. A member that restarted forgets its promise, and may have received
+// entries from a former primary that could not be told to step down.
+func (m Machine) verify(v view.View) (Machine, []Action) {
+	if m.verified == nil {
+		m.verified = make(map[string]bool)
+		return m, m.fencePromised()
+	}
+	if len(m.verified) < len(m.fenced) {
+		return m, nil
+	}
+	return m.promoteLongest(v)
+}
+
+func (m Machine) promoteLongest(v view.View) (Machine, []Action) {
 	m.stage, m.candidate = Promoting, m.longestFenced(v)
 	return m, []Action{{Promote: &Order{Member: m.candidate, Claim: m.claim}}}
 }
 
-// fencePromised repeats the fence order to every member that has promised. A member that
-// restarted forgets its promise, and may have received entries from a former primary that
-// could not be told to step down.
+// fencePromised repeats the fence order to every member that has promised.
 func (m Machine) fencePromised() []Action {
 	var actions []Action
 	for _, member := range slices.Sorted(maps.Keys(m.fenced)) {
