Probe members for commits that wait before asking for their state

A state request takes one of a member's slots and is paid for.

Change: members are probed first. A probe takes no slot and shows the applied position, which proves by a recent commit that a replica holds it and has promised nothing. After 150 ms the full state is asked for as well, at most once in a poll period.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -67,8 +67,10 @@
 	current *duty.Cell[view.View]
 	inputs  *duty.Ring[trace.Input]
 	waiters atomic.Int64
-	// commits is the number of acknowledged commits whose retention is not decided yet.
-	commits atomic.Int64
+	// commits is the number of acknowledged commits whose retention is not decided yet, and
+	// slowCommits the number of those that have waited for longer than probeCommitsFor.
+	commits     atomic.Int64
+	slowCommits atomic.Int64
 	// lastUse is the time at which a request last used the database, in nanoseconds.
 	lastUse atomic.Int64
 	voters  *duty.Cell[[]string]
@@ -223,10 +225,16 @@
 	}
 	c.commits.Add(1)
 	defer c.commits.Add(-1)
+	slow := time.NewTimer(probeCommitsFor)
+	defer slow.Stop()
 	c.poll(c.informs)
 	for r.Status() == view.Pending {
 		select {
 		case <-changed:
+		case <-slow.C:
+			c.slowCommits.Add(1)
+			defer c.slowCommits.Add(-1)
+			c.poll(c.informs)
 		case <-ctx.Done():
 			return view.Pending
 		}
@@ -236,6 +244,10 @@
 	return r.Status()
 }
 
+// probeCommitsFor is how long members are only probed for a commit that waits. A probe takes
+// none of a member's slots, but shows an entry only once it is applied.
+const probeCommitsFor = 150 * time.Millisecond
+
 func (c *Controller) retentionTimes(acknowledged, leaseStart time.Time) view.RetentionTimes {
 	return view.RetentionTimes{Acknowledged: acknowledged, LeaseStart: leaseStart, Settle: c.options.Rules.AttemptTimeout}
 }
--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -82,8 +82,13 @@
 func (c *Controller) pollMember(ctx context.Context, m view.Member, trigger <-chan struct{}) error {
 	control := c.options.Dial(m)
 	defer control.Close()
+	var fullAt time.Time
 	for ctx.Err() == nil {
-		c.pollOnce(ctx, control, m)
+		full := c.needsFullState(m, time.Since(fullAt))
+		if full {
+			fullAt = time.Now()
+		}
+		c.pollOnce(ctx, control, m, full)
 		pause := c.pauseFor(m)
 		select {
 		case <-trigger:
@@ -143,11 +148,11 @@
 	}
 }
 
-func (c *Controller) pollOnce(ctx context.Context, control member.Control, m view.Member) {
+func (c *Controller) pollOnce(ctx context.Context, control member.Control, m view.Member, full bool) {
 	pollCtx, cancel := context.WithTimeout(ctx, c.options.Timeout)
 	defer cancel()
 	asked := time.Now()
-	full, interrupted := c.needsFullState(m), false
+	interrupted := false
 	state, err := control.Ask(pollCtx, full)
 	if err != nil && pollCtx.Err() == nil && !member.IsConnectionRefused(err) {
 		// The connection had ended. A new one shows whether the member is down.
@@ -177,8 +182,9 @@
 // needsFullState reports whether a member's fence is needed. It is needed from a majority
 // if the primary's leadership has not been proven otherwise for some time, from a member
 // that is fenced or whose term is behind the primary's, from all members that claim to
-// lead if there are several, and from the replicas while commits wait.
-func (c *Controller) needsFullState(m view.Member) bool {
+// lead if there are several, and at intervals from the
+// replicas while commits wait for long. The last full state is as old as given.
+func (c *Controller) needsFullState(m view.Member, age time.Duration) bool {
 	v := c.View()
 	if v.Contested(m.Name) {
 		return true
@@ -191,7 +197,7 @@
 	if !found || !known || r.State.Fenced() || r.State.Term < primary.State.Term {
 		return true
 	}
-	if c.commits.Load() > 0 {
+	if c.slowCommits.Load() > 0 && age >= c.options.Poll {
 		return true
 	}
 	now := time.Now()
