--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -211,6 +211,37 @@
 	g.Expect(o.client.Route("stock", 0)).To(Equal([]string{"other", "owner"}))
 }
 
+// TestSilentConnectionsAreNotTriedInTurn guards against requests that wait one after the other
+// for connections which all went silent, without a reset, at the same moment. New connections
+// to the owner work.
+func TestSilentConnectionsAreNotTriedInTurn(t *testing.T) {
+	g := NewWithT(t)
+	o := newFakeOwner(t)
+	idle := make([]chain.RelayConn, 3)
+	for i := range idle {
+		conn, ownerEnd := o.open(t)
+		idle[i] = conn
+		go func() { _ = peer.DecodeInto(ownerEnd, jobBytes, &relay.Job{}) }()
+	}
+	for _, conn := range idle {
+		conn.Release(true)
+	}
+	silent, err := o.client.Open(t.Context(), "owner")
+	g.Expect(err).NotTo(HaveOccurred())
+	ctx, cancel := context.WithTimeout(t.Context(), 20*time.Millisecond)
+	defer cancel()
+	g.Expect(fault.FromError(silent.Run(ctx, write())).Kind).To(Equal(fault.Severed))
+	silent.Release(false)
+	conn, ownerEnd := o.open(t)
+	g.Expect(idle).NotTo(ContainElement(BeIdenticalTo(conn)))
+	go func() {
+		if _, err := answer(ownerEnd, relay.Outcome{Reply: flow.Reply{Receipt: "r"}}); err != nil {
+			t.Error(err)
+		}
+	}()
+	g.Expect(conn.Run(t.Context(), write())).To(Succeed())
+}
+
 func TestDrainingOwnerIsTriedLast(t *testing.T) {
 	g := NewWithT(t)
 	o := newFakeOwner(t)
