--- a/internal/ctrl/poll.go
+++ b/internal/ctrl/poll.go
@@ -179,11 +179,11 @@
 	c.inputs.Offer(trace.Input{Report: &view.Report{Member: m.Name, SentAt: asked, ReceivedAt: time.Now(), State: state, Interrupted: interrupted}})
 }
 
-// needsFullState reports whether a member's fence is needed. It is needed from a majority
-// if the primary's leadership has not been proven otherwise for some time, from a member
-// that is fenced or whose term is behind the primary's, from all members that claim to
-// lead if there are several, and at intervals from the
-// replicas while commits wait for long. The last full state is as old as given.
+// needsFullState reports whether a member's fence is needed, given the age of its last full
+// state. It is needed from a majority if the primary's leadership has not been proven
+// otherwise for some time, from a member that is fenced or whose term is behind the
+// primary's, from all members that claim to lead if there are several, and at intervals from
+// the replicas while commits wait for long.
 func (c *Controller) needsFullState(m view.Member, age time.Duration) bool {
 	v := c.View()
 	if v.Contested(m.Name) {
