Compare a claim under way with a rival's

Two voters claim a term within one round trip. The one with the higher token gave way to the announcement of the other, whose order the platform then refused, and nobody promoted for 4 s.

Change: a machine that waits for the result of its claim keeps the rival's claim and compares the tokens when the result is there. The lower one is given up, as before.

The test fails without the change.

--- a/internal/elect/attempt.go
+++ b/internal/elect/attempt.go
@@ -62,6 +62,9 @@
 		}
 		return m.abandon(now.Add(pause), ClaimLost)
 	}
+	if m.rival.Token > e.Claimed.Claim.Token {
+		return m.abandon(m.idleAfterRival(now), ClaimLost)
+	}
 	m.stage, m.stageStarted, m.claim = Fencing, now, e.Claimed.Claim
 	m.fenced, m.answered = make(map[string]group.State), make(map[string]bool)
 	m.promisedAt, m.ordered = make(map[string]time.Time), membersOf(v)
--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -32,6 +32,9 @@
 	longestReplicaLog group.Floor
 	replicaLogGrewAt  time.Time
 	claim             Claim
+	// rival is the highest claim of another voter that was announced while this machine
+	// claimed a term.
+	rival Claim
 	// former is the primary that the claim replaces, or empty if none was known.
 	former   string
 	fenced   map[string]group.State
@@ -140,7 +143,7 @@
 	m.stage, m.votes, m.responding, m.fenced, m.answered, m.refenceAt = Watching, nil, nil, nil, nil, nil
 	m.candidate, m.target, m.former, m.caughtUp, m.majorityFencedAt = "", "", "", false, time.Time{}
 	m.superseded = false
-	m.promisedAt, m.ordered, m.verified, m.floor = nil, nil, nil, group.Floor{}
+	m.promisedAt, m.ordered, m.verified, m.floor, m.rival = nil, nil, nil, group.Floor{}, Claim{}
 	return m
 }
 
@@ -182,10 +185,17 @@
 // staggered by the order of the voters, so that these act one after the other.
 func (m Machine) yieldTo(now time.Time, rival Claim) (Machine, []Action) {
 	attempting := m.stage == Fencing || m.stage == Promoting
-	if attempting && m.claim.Token > rival.Token {
+	switch {
+	case attempting && m.claim.Token > rival.Token:
+		return m, nil
+	case m.stage == Claiming:
+		// This machine's claim may outrank the rival's and has then invalidated its token.
+		if m.rival.Token < rival.Token {
+			m.rival = rival
+		}
 		return m, nil
 	}
-	idleUntil := now.Add(m.rules.AttemptTimeout + time.Duration(max(m.index, 0))*m.rules.Stagger)
+	idleUntil := m.idleAfterRival(now)
 	if !attempting {
 		m = m.reset()
 		m.idleUntil = idleUntil
@@ -194,6 +204,11 @@
 	return m.abandon(idleUntil, ClaimLost)
 }
 
+// idleAfterRival returns until when the machine leaves the database to another voter.
+func (m Machine) idleAfterRival(now time.Time) time.Time {
+	return now.Add(m.rules.AttemptTimeout + time.Duration(max(m.index, 0))*m.rules.Stagger)
+}
+
 // suspectsPrimary reports whether the primary has not responded for too long, or can no
 // longer confirm writes because members have promised a later term.
 func (m Machine) suspectsPrimary(now time.Time, v view.View) bool {
--- a/internal/elect/turn_test.go
+++ b/internal/elect/turn_test.go
@@ -87,3 +87,32 @@
 	}
 	return machine, actions
 }
+
+// TestClaimUnderWayIsComparedWithARival guards against an attempt that nobody continues: two
+// voters claim at the same time, and the one whose token outranks the other's gives way to its
+// announcement, although the platform now refuses the other's order.
+func TestClaimUnderWayIsComparedWithARival(t *testing.T) {
+	for name, c := range map[string]struct {
+		own  uint64
+		want string
+	}{
+		"own token is higher": {own: 9, want: "won, tell 2, fence a 2, fence b 2, fence c 2"},
+		"own token is lower":  {own: 7, want: "lost"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			start := time.Unix(0, 0)
+			machine := elect.New(elect.SharedTermRules(time.Second, time.Second), "p1", []string{"p1"}, start)
+			v := view.New("d", []view.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}})
+			v = v.WithReport(view.Report{Member: "a", SentAt: start, ReceivedAt: start, State: group.State{Role: group.Primary, Term: 1, EntryTerm: 1, Received: 10}}).WithSilence("a")
+			now, actions := start.Add(time.Second), []elect.Action(nil)
+			machine, _ = machine.Step(now, v, elect.Event{})
+			machine, actions = machine.Step(now, v, elect.Event{})
+			g.Expect(elect.FormatActions(actions)).To(Equal("claim after 1"))
+			machine, actions = machine.Step(now, v, elect.Event{Rival: &elect.Claim{Term: 2, Token: 8, Promoter: "p2"}})
+			g.Expect(actions).To(BeEmpty())
+			_, actions = machine.Step(now, v, elect.Event{Claimed: &elect.ClaimResult{Won: true, Claim: elect.Claim{Term: 2, Token: c.own, Promoter: "p1"}}})
+			g.Expect(elect.FormatActions(actions)).To(Equal(c.want))
+		})
+	}
+}
