Add customers to the sheet, and the interfaces of keys and usage caps

Cause: the proxy does not know customers, so members are told the host's name, removed keys keep working and usage is not limited. Result: no behaviour changes.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -296,6 +296,8 @@
 	*ctrl.Controllers
 	*gate.LeaseManager
 	connectionDemand
+	peer.NoProofs
+	peer.NoCaps
 	front *front.Front
 }
 
--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -61,6 +61,8 @@
 	// Replicated reports, by database name, whether the database acknowledges a write
 	// only after a replica has received it.
 	Replicated map[string]bool `json:",omitempty"`
+	// Customers are the customers with the digests of their keys and their usage caps.
+	Customers []sheet.Customer `json:",omitempty"`
 }
 
 // DatabasesDoc is the body of the document that lists the databases.
@@ -255,14 +257,14 @@
 		return err
 	}
 	if body.CSV == "" && body.Rows != nil {
-		b.sheet, b.sheetDoc = sheet.FromRows(body.Rows), body
+		b.sheet, b.sheetDoc = sheet.FromRows(body.Rows).WithCustomers(body.Customers), body
 		return nil
 	}
 	parsed, err := sheet.Parse(bytes.NewBufferString(body.CSV))
 	if err != nil {
 		return &BodyError{Kind: Sheet, Detail: err.Error()}
 	}
-	b.sheet, b.sheetDoc = parsed, body
+	b.sheet, b.sheetDoc = parsed.WithCustomers(body.Customers), body
 	return nil
 }
 
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -31,6 +31,10 @@
 	Name string
 	// Service is the service that the caller selected at login.
 	Service string
+	// Customer is the name of the customer whose key the caller presented, or empty, and
+	// KeyDigest the digest of that key.
+	Customer  string
+	KeyDigest string
 }
 
 // Lease is a pooled connection that is reserved for one request, or for the transaction that
@@ -235,6 +239,10 @@
 	// Relay sends requests to the owners of their databases. Nil means that this proxy serves
 	// every database.
 	Relay Relay
+	// Keys reports whether keys can be accepted. Nil means always.
+	Keys KeyRecency
+	// Caps limits the usage of customers. Nil means that it is not limited.
+	Caps CapLimiter
 }
 
 // Permit is the right to run one request on a member: it holds one of the member's slots.
@@ -279,7 +287,7 @@
 	}
 	f := &filters{Options: o, suspensions: &suspensionDetector{suspended: o.Suspended}}
 	h := f.run
-	for _, filter := range []Filter{f.confirm, f.acquire, f.route, f.attachController, f.relay, f.admit, f.classify} {
+	for _, filter := range []Filter{f.confirm, f.acquire, f.route, f.attachController, f.relay, f.admit, f.limitUsage, f.authenticate, f.classify} {
 		h = filter(h)
 	}
 	return h
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -80,6 +80,8 @@
 	// MemberUser and MemberPassword are the proxy's credentials at members.
 	MemberUser     string
 	MemberPassword string
+	// Customers sets the bounds within which keys and usage caps take effect.
+	Customers Customers
 	// Limits bound the proxy's use of connections, requests and memory.
 	Limits Limits
 	// Timing sets the proxy's periods and timeouts.
@@ -111,6 +113,24 @@
 	HeldAnswerBytes int
 	// RequestBytes is the maximum size of one request of a caller.
 	RequestBytes int
+	// MemoryMB is the memory that the process may use, in MB, and Descriptors the number of
+	// file descriptors. 0 means that the machine does not limit them.
+	MemoryMB    int
+	Descriptors int
+}
+
+// Customers sets the bounds within which keys and usage caps take effect.
+type Customers struct {
+	// StrictRevocation is set if a proxy must refuse keys that it cannot prove to be valid.
+	StrictRevocation bool
+	// RevokeMs is the time after which a removed key must not be accepted by any host.
+	RevokeMs Millis
+	// CapWindowMs is the length of the windows in which usage is counted. CapOverage is the
+	// share by which the operations in a window may exceed the cap, and CapSlack the number
+	// by which they may exceed it besides.
+	CapWindowMs Millis
+	CapOverage  float64
+	CapSlack    float64
 }
 
 // Timing sets the periods and timeouts of one proxy.
@@ -174,6 +194,7 @@
 			HeldAnswerBytes:   1 << 20,
 			RequestBytes:      1 << 20,
 		},
+		Customers: Customers{RevokeMs: 5_000, CapWindowMs: 5_000, CapOverage: 0.1, CapSlack: 20},
 		Timing: Timing{
 			PollMs:       250,
 			AskTimeoutMs: 500,
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -135,6 +135,10 @@
 		c.address(fmt.Sprintf("Seeds.%d", i), seed)
 	}
 	c.name("MemberUser", s.MemberUser)
+	c.share("Customers.CapOverage", s.Customers.CapOverage)
+	c.share("Customers.CapSlack", s.Customers.CapSlack)
+	c.positive("Customers.RevokeMs", int64(s.Customers.RevokeMs))
+	c.positive("Customers.CapWindowMs", int64(s.Customers.CapWindowMs))
 	c.numbers("Limits", reflect.ValueOf(s.Limits))
 	c.numbers("Timing", reflect.ValueOf(s.Timing))
 	c.pollBounds(s.Timing)
@@ -191,17 +195,27 @@
 	}
 }
 
-// numbers checks that each field of a group is positive. GraceMs may be 0, which
-// means that the process is not killed.
+// unlimited are the names of numbers that may be 0: GraceMs, which means that the process
+// is not killed, and limits of the machine that may be unknown.
+var unlimited = []string{"GraceMs", "MemoryMB", "Descriptors"}
+
+// numbers checks that each field of a group is positive, or 0 if the field is one of
+// unlimited.
 func (c *checker) numbers(path string, group reflect.Value) {
 	for i := range group.NumField() {
 		name := group.Type().Field(i).Name
-		if n := group.Field(i).Int(); n < 1 && (n < 0 || name != "GraceMs") {
-			c.fail(path+"."+name, fmt.Sprint(n), "a number above 0")
+		if n := group.Field(i).Int(); n != 0 || !slices.Contains(unlimited, name) {
+			c.positive(path+"."+name, n)
 		}
 	}
 }
 
+func (c *checker) positive(path string, n int64) {
+	if n < 1 {
+		c.fail(path, fmt.Sprint(n), "a number above 0")
+	}
+}
+
 // pollBounds checks that a primary can miss one status query without being suspected.
 func (c *checker) pollBounds(t Timing) {
 	if t.SuspectMs < 2*t.PollMs {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -37,7 +37,8 @@
 // Refusal is the reason for which a statement failed.
 type Refusal uint8
 
-// The refusals. Up to NotPrepared, the statement did not run.
+// The refusals. Up to NotPrepared, the statement did not run. Their order must not change,
+// because proxies send them to each other as numbers.
 const (
 	// Accepted means that the statement was not refused.
 	Accepted Refusal = iota
@@ -67,25 +68,29 @@
 	TimedOut
 	// InDoubt means that the statement may have run.
 	InDoubt
+	// Unauthorized means that the caller's key belongs to no customer. The statement did
+	// not run.
+	Unauthorized
 )
 
 // String returns a description of the refusal.
 func (r Refusal) String() string {
 	return [...]string{
 		"accepted", "busy", "behind", "not primary", "elsewhere", "full", "aborted", "unprepared", "unlisted", "malformed",
-		"too large", "failed", "timed out", "in doubt",
+		"too large", "failed", "timed out", "in doubt", "unauthorized",
 	}[r]
 }
 
 // refusals maps a kind of fault to the refusal that is reported to the caller. A fault
 // with an unknown outcome is reported as InDoubt, any other that is not listed as Busy.
 var refusals = map[fault.Kind]Refusal{
-	fault.Protocol: Malformed,
-	fault.Oversize: TooLarge,
-	fault.Denied:   UnknownService,
-	fault.Unlisted: UnknownService,
-	fault.NoReader: Behind,
-	fault.Behind:   Behind,
+	fault.Protocol:   Malformed,
+	fault.Oversize:   TooLarge,
+	fault.Denied:     UnknownService,
+	fault.Unlisted:   UnknownService,
+	fault.NoReader:   Behind,
+	fault.Behind:     Behind,
+	fault.UnknownKey: Unauthorized,
 }
 
 // refusalOf returns the refusal that is reported to the caller for a fault.
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -47,6 +47,14 @@
 	HandleSuspicionQuery(d SuspicionQuery) SuspicionVote
 	// TakeOpinion handles another proxy's vote on whether a proxy is unresponsive.
 	TakeOpinion(host string, o SuspicionVote)
+	// HandleProofQuery returns how recently this proxy's sheet was proven to be the store's
+	// newest, or false if it has no proof. TakeProof handles the answer of a peer.
+	HandleProofQuery(q ProofQuery) (ProofAnswer, bool)
+	TakeProof(host string, a ProofAnswer)
+	// HandleCapAsk returns the tokens that are granted to a peer, and TakeCapGrant handles
+	// those that a peer granted.
+	HandleCapAsk(host string, a CapAsk) CapGrant
+	TakeCapGrant(host string, g CapGrant)
 	// HandleDisconnect is called when a connection that a peer had opened has ended.
 	HandleDisconnect(host string)
 	// ServeRelay serves the relayed requests that a peer sends over a connection, until
@@ -59,6 +67,26 @@
 	Cancel(processID uint32, secretKey []byte)
 }
 
+// NoProofs is the part of a Handler of a proxy that proves nothing about its sheet.
+type NoProofs struct{}
+
+// HandleProofQuery implements Handler.
+func (NoProofs) HandleProofQuery(ProofQuery) (ProofAnswer, bool) { return ProofAnswer{}, false }
+
+// TakeProof implements Handler.
+func (NoProofs) TakeProof(string, ProofAnswer) {}
+
+// NoCaps is the part of a Handler of a proxy that grants no tokens.
+type NoCaps struct{}
+
+// HandleCapAsk implements Handler.
+func (NoCaps) HandleCapAsk(_ string, a CapAsk) CapGrant {
+	return CapGrant{ID: a.ID, Partition: a.Partition}
+}
+
+// TakeCapGrant implements Handler.
+func (NoCaps) TakeCapGrant(string, CapGrant) {}
+
 // Options are the settings and dependencies of Connections.
 type Options struct {
 	Host   string
@@ -287,6 +315,17 @@
 		answers.Offer(Frame{SuspicionVote: &suspicionVote})
 	case f.SuspicionVote != nil:
 		m.handler.TakeOpinion(host, *f.SuspicionVote)
+	case f.ProofQuery != nil:
+		if answer, proven := m.handler.HandleProofQuery(*f.ProofQuery); proven {
+			answers.Offer(Frame{ProofAnswer: &answer})
+		}
+	case f.ProofAnswer != nil:
+		m.handler.TakeProof(host, *f.ProofAnswer)
+	case f.CapAsk != nil:
+		grant := m.handler.HandleCapAsk(host, *f.CapAsk)
+		answers.Offer(Frame{CapGrant: &grant})
+	case f.CapGrant != nil:
+		m.handler.TakeCapGrant(host, *f.CapGrant)
 	case f.Cancel != nil:
 		m.handler.Cancel(f.Cancel.ProcessID, f.Cancel.SecretKey)
 	}
--- a/internal/peer/peer_test.go
+++ b/internal/peer/peer_test.go
@@ -23,6 +23,9 @@
 
 // recorder is a Handler that records documents and votes.
 type recorder struct {
+	peer.NoProofs
+	peer.NoCaps
+
 	mu    sync.Mutex
 	book  book.DocumentSet
 	votes []elect.Vote
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -78,6 +78,14 @@
 	Unconfirmed
 	// Oversized reports an answer that is too large to be buffered until it is confirmed.
 	Oversized
+	// UnknownKey reports work of a caller whose key belongs to no customer, or to another
+	// one than when the caller connected.
+	UnknownKey
+	// StaleKeys reports work of a caller with a key at a proxy that cannot prove that its
+	// list of keys is recent enough.
+	StaleKeys
+	// OverCap reports work beyond the usage cap of its customer.
+	OverCap
 	kinds
 )
 
@@ -107,6 +115,9 @@
 	Severed:      {"PU001", Unknown, "severed"},
 	Unconfirmed:  {"PU002", Unknown, "unconfirmed"},
 	Oversized:    {"PU003", Unknown, "oversized"},
+	UnknownKey:   {"PN013", NotRun, "unknown-key"},
+	StaleKeys:    {"PN014", NotRun, "stale-keys"},
+	OverCap:      {"PN015", NotRun, "over-cap"},
 }
 
 // Kinds returns all kinds in the order of their numbers.
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -70,6 +70,9 @@
 	// LatencyObjective is the latency that callers are promised, or 0 if only the deadline
 	// applies. The CSV export has no column for it.
 	LatencyObjective time.Duration `json:"Aim,omitempty" msgpack:"Aim"`
+	// KeyRequired is set if only callers with the key of a customer may use the service. The
+	// CSV export has no column for it.
+	KeyRequired bool `json:",omitempty" msgpack:",omitempty"`
 }
 
 // MaxQueueWait returns how long the work may wait for a slot at a member before it is
@@ -96,7 +99,8 @@
 
 // Sheet is a set of rows. It is immutable, and the zero Sheet has no rows.
 type Sheet struct {
-	rows []Row
+	rows      []Row
+	customers *customers
 }
 
 // Rows returns a copy of the rows in the order of the sheet.
