--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -315,6 +315,16 @@
 		answers.Offer(Frame{SuspicionVote: &suspicionVote})
 	case f.SuspicionVote != nil:
 		m.handler.TakeOpinion(host, *f.SuspicionVote)
+	case f.Cancel != nil:
+		m.handler.Cancel(f.Cancel.ProcessID, f.Cancel.SecretKey)
+	default:
+		m.handleCustomerFrame(host, f, answers)
+	}
+}
+
+// handleCustomerFrame handles a frame that concerns the keys or the usage caps of customers.
+func (m *Connections) handleCustomerFrame(host string, f Frame, answers *duty.Ring[Frame]) {
+	switch {
 	case f.ProofQuery != nil:
 		if answer, proven := m.handler.HandleProofQuery(*f.ProofQuery); proven {
 			answers.Offer(Frame{ProofAnswer: &answer})
@@ -326,7 +336,5 @@
 		answers.Offer(Frame{CapGrant: &grant})
 	case f.CapGrant != nil:
 		m.handler.TakeCapGrant(host, *f.CapGrant)
-	case f.Cancel != nil:
-		m.handler.Cancel(f.Cancel.ProcessID, f.Cancel.SecretKey)
 	}
 }
