Divide connections and relays by customer, and check keys on every statement

Cause: a member must learn for which customer a statement runs, and a removed key must stop working in sessions that are open.

A session of the line protocol is identified by the digest of what the caller presented, again after each change of the sheet; the key is neither kept nor logged. Jobs carry the customer, which the owner checks against its own sheet. Pools open connections in the name of a customer, reuse them for that customer only, and close the least recently used idle one when the share is held. Requests of a customer prefer the same owner.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -1,6 +1,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"time"
@@ -108,7 +109,7 @@
 	shares := share.New(share.Options{
 		Host: s.Host, Region: s.Region, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
-	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts})
+	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts, SheetSerial: l.sheetSerial})
 	onStop(lc, closeRelays)
 	p := &protocolParts{
 		protocol:        flow.Protocol{NewCaller: caller.New},
@@ -135,8 +136,9 @@
 		leased:  noLeases{duty.NewCell[[]ctrl.Watched](nil)},
 		bind:    l.bind,
 	}
-	dial := func(ctx context.Context, m view.Member, kind meter.Kind) (flow.ControlConn, error) {
-		return memb.Dial(ctx, bytes.Dial(kind, m.Region), m.Database, m, s.Host)
+	// A member is told the customer for which a connection is opened, or else this host.
+	dial := func(ctx context.Context, m view.Member, kind meter.Kind, customer string) (flow.ControlConn, error) {
+		return memb.Dial(ctx, bytes.Dial(kind, m.Region), m.Database, m, cmp.Or(customer, s.Host))
 	}
 	p.open = func(_ string, m view.Member) (*member.Pool, func()) {
 		return member.NewPool(member.PoolOptions{
@@ -144,8 +146,9 @@
 			Modeless:  true,
 			Limit:     maxLines,
 			IdleCheck: s.Timing.IdleCheckMs.Duration(),
-			Open: func(ctx context.Context, _ member.Mode) (member.ProtocolConn, error) {
-				conn, err := dial(ctx, m, meter.Work)
+			Listed:    l.customerListed,
+			Open: func(ctx context.Context, _ member.Mode, customer string) (member.ProtocolConn, error) {
+				conn, err := dial(ctx, m, meter.Work, customer)
 				if err != nil {
 					return nil, err
 				}
@@ -158,7 +161,7 @@
 			Database: m.Database,
 			Member:   m,
 			Pool:     func() *member.Pool { return l.pool(m) },
-			Dial:     func(ctx context.Context) (flow.ControlConn, error) { return dial(ctx, m, meter.Control) },
+			Dial:     func(ctx context.Context) (flow.ControlConn, error) { return dial(ctx, m, meter.Control, "") },
 			Promoter: promoter,
 		})
 	}
@@ -219,6 +222,14 @@
 // connections returns how many connections a member of a database accepts.
 func (l *lateParts) connections(database string) int { return l.book().Connections(database) }
 
+func (l *lateParts) sheetSerial() uint64 { return l.book().Serial(book.Sheet) }
+
+// customerListed reports whether the sheet lists a customer.
+func (l *lateParts) customerListed(name string) bool {
+	_, found := l.book().Sheet().Customer(name)
+	return found
+}
+
 // slots returns how many statements a member of a database runs concurrently, or 0 if
 // the database is not listed.
 func (l *lateParts) slots(database string) int {
--- a/internal/chain/relay.go
+++ b/internal/chain/relay.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
@@ -39,7 +41,7 @@
 			return next(ctx, r)
 		}
 		f.awaitOwners(ctx, r)
-		hosts := f.Relay.Route(r.Work.Database, r.Caller.ID)
+		hosts := f.Relay.Route(r.Work.Database, relayTurn(r.Caller))
 		hosts = hosts[:min(len(hosts), maxRelayAttempts)]
 		var err error
 		reached := false
@@ -67,6 +69,15 @@
 	}
 }
 
+// relayTurn returns the number that rotates the owners of a request. Requests of a customer
+// prefer the same owner on every host, because a connection to a member serves one customer.
+func relayTurn(c Caller) uint64 {
+	if c.Customer == "" {
+		return c.ID
+	}
+	return xxhash.Sum64String(c.Customer)
+}
+
 // maxRelayAttempts is how many owners are tried before this proxy serves the request. If
 // that many fail, this proxy is probably isolated, or the database has lost its owners.
 const maxRelayAttempts = 4
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -200,7 +200,7 @@
 		mode = member.ReadWrite
 	}
 	pool := f.Controllers.Pool(r.Work.Database, m)
-	conn, err := pool.Get(ctx, mode)
+	conn, err := pool.Get(ctx, mode, r.Caller.Customer)
 	if err != nil {
 		permit.Release()
 		return nil, err
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -55,6 +55,10 @@
 		f.releaseLease(r, true)
 		return lateFault("send", r)
 	}
+	if l.Customer() != r.Caller.Customer {
+		f.releaseLease(r, !r.pinned)
+		return fault.New(fault.UnknownKey, "send", "the connection to %s was opened for another customer", l.Member.Name)
+	}
 	if err := l.SetDeadline(deadline); err != nil {
 		f.releaseLease(r, false)
 		return fault.Wrap(err, fault.Unreachable, "send", "the connection to %s was already closed", l.Member.Name)
--- a/internal/chain/run_test.go
+++ b/internal/chain/run_test.go
@@ -82,7 +82,7 @@
 	options := chain.Options{Log: log, Guard: guard.New(log, prometheus.NewRegistry(), violated), BufferBytes: 1 << 10}
 	pool, closePool := pgmem.NewPool(address, pgmem.Login{User: "u"}, 1, time.Minute)
 	t.Cleanup(closePool)
-	conn, err := pool.Get(context.Background(), member.ReadWrite)
+	conn, err := pool.Get(context.Background(), member.ReadWrite, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	c := wire.NewCollector(1 << 10)
 	var batch *wire.Batch
--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -226,7 +226,7 @@
 // further connections.
 func (c *Control) commandOverPool(ctx context.Context, send func(ControlConn) (group.State, error)) (group.State, error) {
 	pool := c.options.Pool()
-	conn, err := pool.Get(ctx, member.ReadWrite)
+	conn, err := pool.GetAny(ctx, member.ReadWrite)
 	if err != nil {
 		return group.State{}, err
 	}
--- a/internal/flow/control_test.go
+++ b/internal/flow/control_test.go
@@ -17,7 +17,7 @@
 func askError(t *testing.T, reason error) error {
 	pool, closePool := member.NewPool(member.PoolOptions{
 		Address: "m", Limit: 1, IdleCheck: time.Minute, Modeless: true,
-		Open: func(context.Context, member.Mode) (member.ProtocolConn, error) { return nil, reason },
+		Open: func(context.Context, member.Mode, string) (member.ProtocolConn, error) { return nil, reason },
 	})
 	t.Cleanup(closePool)
 	control := flow.NewControl(flow.ControlOptions{Member: view.Member{Name: "m"}, Pool: func() *member.Pool { return pool }})
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -133,7 +133,8 @@
 	Receive() (Reply, error)
 }
 
-// Start names the service that a caller connects to, and the caller.
+// Start names the service that a caller connects to, and the key or the name that the caller
+// presented. It must not be logged: whether it is a key follows from the sheet.
 type Start struct {
 	Service string
 	Name    string
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -273,6 +273,8 @@
 	switch {
 	case commits:
 		s.Phase = stmt.Idle
+	case r.Refusal == Unauthorized:
+		s.Phase = phaseAfterRollback(s.Phase, x.query.Statement)
 	case s.Phase != stmt.Idle:
 		// No commit was sent, so none of the transaction's writes takes effect.
 		r.Refusal, s.Phase = Aborted, stmt.Failed
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -14,7 +14,6 @@
 	"poplarrouter.example/poplarrouter/internal/stmt"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
-	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // startTimeout is the time limit for a caller's first message.
@@ -62,6 +61,10 @@
 	// expired is set if the transaction was rolled back because it was idle for too long,
 	// and the caller has not been notified yet.
 	expired bool
+	// digest is the digest of what the caller presented as its key, or empty, and checkedSerial
+	// the serial of the sheet by which the caller was last identified.
+	digest        string
+	checkedSerial uint64
 }
 
 // await waits for the next query. A transaction that is idle for longer than the sheet
@@ -92,18 +95,16 @@
 	if err != nil {
 		return errors.CombineErrors(err, s.deny(err))
 	}
-	s.Caller.Service, s.Caller.Name = start.Service, start.Name
+	s.Caller.Service = start.Service
 	documents := s.Options().Documents.Book()
 	if documents.Serial(book.Sheet) == 0 {
 		err := fault.New(fault.Unready, "connect", "this proxy has not received a sheet yet")
 		return errors.CombineErrors(err, s.deny(err))
 	}
-	rows, listed := documents.Sheet().RowsFor(start.Service, start.Name)
-	if !listed {
-		err := fault.New(fault.Denied, "connect", "no service %q is listed", start.Service)
+	work, err := s.present(start, documents)
+	if err != nil {
 		return errors.CombineErrors(err, s.deny(err))
 	}
-	work, _ := sheet.RowForLabel(rows, "")
 	if err := s.TakeAdmissionSlot(work.Rank); err != nil {
 		return errors.CombineErrors(err, s.deny(err))
 	}
@@ -137,6 +138,9 @@
 		return errors.CombineErrors(err, s.caller.Answer(Reply{Refusal: refusalOf(err), Text: err.Message(), Phase: s.state.Phase}))
 	}
 	defer s.EndRequest()
+	if err := s.checkKey(q); err != nil {
+		return s.caller.Answer(s.refuse(q, err))
+	}
 	if s.expired && q.Statement.Kind != stmt.Commit && q.Statement.Kind != stmt.Rollback {
 		s.expired = false
 		return s.caller.Answer(Reply{Refusal: Aborted, Text: "the transaction was idle for too long and was rolled back", Phase: stmt.Failed})
--- a/internal/labpf/group.go
+++ b/internal/labpf/group.go
@@ -27,9 +27,13 @@
 	promotions   int
 	lost         int
 	acknowledged []entry
+	// statements are those that members received from callers, and opened counts the
+	// connections that members accepted, by the name with which they were opened.
+	statements []Statement
+	opened     map[string]int
 }
 
-func newGroup(options Options) *Group { return &Group{options: options} }
+func newGroup(options Options) *Group { return &Group{options: options, opened: make(map[string]int)} }
 
 // Member is one member of the database.
 type Member struct {
--- a/internal/labpf/labpf.go
+++ b/internal/labpf/labpf.go
@@ -128,22 +128,40 @@
 	Name      string
 	Kind      string
 	Staleness time.Duration
+	// Private is set if callers need the key of a tenant.
+	Private bool
 }
 
 // PutConfig writes a configuration with a version and further routes.
-func (p *Platform) PutConfig(version int, more ...Route) {
-	routes := append([]Route{{Latest, "primary", 0}, {Session, "read_your_writes", 2500 * time.Millisecond}, {Bounded, "bounded_staleness", 1500 * time.Millisecond}}, more...)
+func (p *Platform) PutConfig(version int, more ...Route) { p.PutTenants(version, nil, more...) }
+
+// PutTenants writes a configuration with a version, a list of tenants unless it is nil, and
+// further routes.
+func (p *Platform) PutTenants(version int, tenants any, more ...Route) {
+	routes := append([]Route{
+		{Name: Latest, Kind: "primary"},
+		{Name: Session, Kind: "read_your_writes", Staleness: 2500 * time.Millisecond},
+		{Name: Bounded, Kind: "bounded_staleness", Staleness: 1500 * time.Millisecond},
+	}, more...)
 	list := make([]map[string]any, 0, len(routes))
 	for i, r := range routes {
-		list = append(list, map[string]any{
+		route := map[string]any{
 			"name": fmt.Sprint("r-", i), "database": r.Name, "type": r.Kind, "timeout_ms": 1000, "target_latency_ms": 4000,
 			"priority": i % 3, "service": Database, "max_staleness_ms": r.Staleness.Milliseconds(),
-		})
+		}
+		if r.Private {
+			route["public"] = false
+		}
+		list = append(list, route)
 	}
-	p.Put("config", "main", map[string]any{
+	config := map[string]any{
 		"version": version, "routes": list, "limits": map[string]any{"tx_idle_ms": 3000},
 		"services": []map[string]any{{"name": Database, "max_conns": p.options.Connections, "sync_replicas": 1}},
-	})
+	}
+	if tenants != nil {
+		config["tenants"] = tenants
+	}
+	p.Put("config", "main", config)
 }
 
 func (p *Platform) close() {
--- a/internal/labpf/member.go
+++ b/internal/labpf/member.go
@@ -67,9 +67,11 @@
 // session is one connection to a member.
 type session struct {
 	*Member
-	conn     net.Conn
-	values   map[string]string
-	prepared map[string]string
+	conn net.Conn
+	// connected is the name with which the connection was opened.
+	connected string
+	values    map[string]string
+	prepared  map[string]string
 	// open tells that a transaction is, reads that it only reads; writes are its own.
 	open   bool
 	reads  bool
@@ -96,9 +98,14 @@
 				_, _ = fmt.Fprintf(conn, "ERROR MOVED %s\r\n", m.name)
 				return
 			}
+			if len(fields) > 1 {
+				s.connected = fields[1]
+			}
+			s.noteOpened()
 			_, _ = conn.Write([]byte(s.ready()))
 		case "QUERY":
-			_, text, _ := strings.Cut(rest, " ")
+			id, text, _ := strings.Cut(rest, " ")
+			s.noteStatement(id, text)
 			if _, err := conn.Write([]byte(s.run(text) + s.ready())); err != nil {
 				return
 			}
--- a/internal/labpf/path_test.go
+++ b/internal/labpf/path_test.go
@@ -120,14 +120,17 @@
 // patience bounds every answer that a test waits for.
 const patience = 20 * time.Second
 
-func dial(address, service string) (*caller, error) {
+func dial(address, service string) (*caller, error) { return dialWith(address, service, "tester") }
+
+// dialWith connects as a caller that presents a name or a key.
+func dialWith(address, service, key string) (*caller, error) {
 	conn, err := net.Dial("tcp", address)
 	if err != nil {
 		return nil, err
 	}
 	c := &caller{conn: conn, answers: bufio.NewReader(conn)}
 	_ = conn.SetDeadline(time.Now().Add(patience))
-	if _, err := fmt.Fprintf(conn, "STARTUP %s tester\r\n", service); err != nil {
+	if _, err := fmt.Fprintf(conn, "STARTUP %s %s\r\n", service, key); err != nil {
 		return nil, err
 	}
 	line, err := c.answers.ReadString('\n')
@@ -142,10 +145,13 @@
 }
 
 // enter connects to a proxy, and tries again until it is ready.
-func (s *site) enter(proxy int, service string) *caller {
+func (s *site) enter(proxy int, service string) *caller { return s.enterWith(proxy, service, "tester") }
+
+// enterWith is like enter for a caller that presents a name or a key.
+func (s *site) enterWith(proxy int, service, key string) *caller {
 	var c *caller
 	s.Eventually(func() (err error) {
-		c, err = dial(s.proxies[proxy].Address(), service)
+		c, err = dialWith(s.proxies[proxy].Address(), service, key)
 		return err
 	}, patience, 20*time.Millisecond).Should(Succeed())
 	s.t.Cleanup(func() { _ = c.conn.Close() })
--- /dev/null
+++ b/internal/labpf/tenants.go
@@ -0,0 +1,54 @@
+package labpf
+
+import (
+	"maps"
+	"slices"
+)
+
+// Tenant is an entry of the list of tenants in a configuration.
+type Tenant struct {
+	Name  string   `json:"name"`
+	Keys  []string `json:"api_keys"`
+	Rate  float64  `json:"rate_per_s,omitempty"`
+	Burst float64  `json:"burst,omitempty"`
+}
+
+// Statement is a statement of a caller that a member received.
+type Statement struct {
+	Member string
+	// Connected is the name with which the connection was opened.
+	Connected string
+	Text      string
+}
+
+// noteStatement records a statement of a caller. Statements with the ID "-" are the proxy's own.
+func (s *session) noteStatement(id, text string) {
+	if id == "-" {
+		return
+	}
+	g := s.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.statements = append(g.statements, Statement{Member: s.name, Connected: s.connected, Text: text})
+}
+
+func (s *session) noteOpened() {
+	g := s.group
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.opened[s.connected]++
+}
+
+// Statements returns the statements of callers that members received so far.
+func (g *Group) Statements() []Statement {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return slices.Clone(g.statements)
+}
+
+// Opened returns how many connections members accepted, by the name with which they were opened.
+func (g *Group) Opened() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return maps.Clone(g.opened)
+}
--- a/internal/member/member.go
+++ b/internal/member/member.go
@@ -6,6 +6,10 @@
 // A pooled connection is idle in its pool, in use by one request or transaction, or closed. It is
 // returned to the pool only outside a transaction and with no answer outstanding. A connection
 // whose state is uncertain is closed.
+//
+// A member learns from the connection for which customer its statements run, so the connections of
+// a pool are divided by customer. There are far fewer connections than customers: an idle connection
+// of another customer is closed when a customer needs one and the pool holds its share.
 package member
 
 import (
@@ -47,13 +51,22 @@
 	ProtocolConn
 
 	mode       Mode
+	customer   string
 	generation int
 	idleSince  time.Time
-	unusable   bool
+	// lastUsed is when the connection was last returned after a request, as opposed to a state
+	// query of the proxy. forStateQuery is set while a state query uses it.
+	lastUsed      time.Time
+	forStateQuery bool
+	unusable      bool
 	// notRunningChecks counts the consecutive checks at which the member ran nothing for the
 	// connection while an answer was outstanding. Pool.mu guards it.
 	notRunningChecks int
 }
 
+// Customer returns the name of the customer for which the connection was opened, or "" if it was
+// opened in the name of the proxy.
+func (c *Conn) Customer() string { return c.customer }
+
 // MarkUnusable prevents reuse of the connection: it is closed when it is returned to its pool.
 func (c *Conn) MarkUnusable() { c.unusable = true }
--- a/internal/member/pool.go
+++ b/internal/member/pool.go
@@ -9,8 +9,8 @@
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
-// Pool is a pool of connections to one member. Its limit covers the connections of both modes,
-// idle and in use.
+// Pool is a pool of connections to one member. Its limit covers the connections of both modes and
+// of all customers, idle and in use. A connection serves only the customer it was opened for.
 type Pool struct {
 	options PoolOptions
 	permits chan struct{}
@@ -20,11 +20,14 @@
 	mu sync.Mutex
 	// share is the number of connections that the pool should hold at most, or 0 if only
 	// PoolOptions.Limit applies.
-	share  int
-	idle   map[Mode][]*Conn
+	share int
+	// idle holds the idle connections in the order in which they were returned.
+	idle   []*Conn
 	inUse  map[*Conn]struct{}
 	open   int
 	closed bool
+	// sweep is the timer of the next sweep, or nil if none is due.
+	sweep *time.Timer
 	// interruptions is the number of connections that the member or the network ended.
 	interruptions int
 	// generation is incremented by Invalidate. Connections of an earlier generation are closed
@@ -36,8 +39,12 @@
 type PoolOptions struct {
 	// Address is the member's address, for error messages.
 	Address string
-	// Open opens a connection.
-	Open func(ctx context.Context, mode Mode) (ProtocolConn, error)
+	// Open opens a connection for a customer, or for the proxy itself and callers without a
+	// customer if the name is empty.
+	Open func(ctx context.Context, mode Mode, customer string) (ProtocolConn, error)
+	// Listed reports whether a customer still exists. Idle connections of others are closed.
+	// Nil means that every customer exists.
+	Listed func(customer string) bool
 	// Control returns a control of the member, by which the pool detects connections in use
 	// that no longer respond. It is nil for a protocol that cannot detect them.
 	Control func() SlotControl
@@ -51,7 +58,7 @@
 
 // NewPool returns a pool and a function that closes it.
 func NewPool(options PoolOptions) (*Pool, func()) {
-	p := &Pool{options: options, permits: make(chan struct{}, options.Limit), inUseSignal: make(chan struct{}, 1), idle: make(map[Mode][]*Conn), inUse: make(map[*Conn]struct{})}
+	p := &Pool{options: options, permits: make(chan struct{}, options.Limit), inUseSignal: make(chan struct{}, 1), inUse: make(map[*Conn]struct{})}
 	stop := func() {}
 	if options.Control != nil {
 		stop = duty.Run(p.watch)
@@ -62,18 +69,45 @@
 	}
 }
 
-// Get returns a connection for use. It waits for one until the context ends. Get sends no part
-// of a request, so the outcome of every fault that it returns is that the request did not run.
-func (p *Pool) Get(ctx context.Context, mode Mode) (*Conn, error) {
+// Get returns a connection for the use of a customer, or of a caller without one if the name is
+// empty. It waits for one until the context ends. Get sends no part of a request, so the outcome
+// of every fault that it returns is that the request did not run.
+func (p *Pool) Get(ctx context.Context, mode Mode, customer string) (*Conn, error) {
 	if p.options.Modeless {
 		mode = ReadWrite
 	}
+	return p.get(ctx, mode, customer, func() (*Conn, bool) { return p.popIdle(mode, customer) })
+}
+
+// GetAny is like Get for the proxy's own queries and commands, which belong to no customer: it may
+// return an idle connection of any of them.
+func (p *Pool) GetAny(ctx context.Context, mode Mode) (*Conn, error) {
+	if p.options.Modeless {
+		mode = ReadWrite
+	}
+	return p.get(ctx, mode, "", func() (*Conn, bool) { return p.popAnyIdle(mode) })
+}
+
+// TryGet is like GetAny, but returns *BusyError without waiting if requests use all connections.
+func (p *Pool) TryGet(ctx context.Context, mode Mode) (*Conn, error) {
+	p.mu.Lock()
+	busy := len(p.permits) == cap(p.permits) || (p.share > 0 && len(p.inUse) > p.share)
+	p.mu.Unlock()
+	if busy {
+		return nil, &BusyError{Member: p.options.Address}
+	}
+	return p.GetAny(ctx, mode)
+}
+
+// get waits for a permit and takes a connection. The function pop removes a suitable idle
+// connection from the pool.
+func (p *Pool) get(ctx context.Context, mode Mode, customer string, pop func() (*Conn, bool)) (*Conn, error) {
 	select {
 	case p.permits <- struct{}{}:
 	case <-ctx.Done():
 		return nil, fault.Wrap(ctx.Err(), fault.Overloaded, "get connection", "all %d connections to the member are in use", cap(p.permits))
 	}
-	c, err := p.takeIdleOrOpen(ctx, mode)
+	c, err := p.takeIdleOrOpen(ctx, mode, customer, pop)
 	if err != nil {
 		<-p.permits
 		return nil, fault.Wrap(err, fault.Unreachable, "get connection", "no connection to member %s", p.options.Address)
@@ -88,17 +122,6 @@
 	return c, nil
 }
 
-// TryGet is like Get, but returns *BusyError without waiting if requests use all connections.
-func (p *Pool) TryGet(ctx context.Context, mode Mode) (*Conn, error) {
-	p.mu.Lock()
-	busy := len(p.permits) == cap(p.permits) || (p.share > 0 && len(p.inUse) > p.share)
-	p.mu.Unlock()
-	if busy {
-		return nil, &BusyError{Member: p.options.Address}
-	}
-	return p.Get(ctx, mode)
-}
-
 // Resize sets the number of connections that the pool should hold. Excess connections are closed:
 // idle ones immediately, those in use when they are returned. One more connection remains
 // allowed, for state queries.
@@ -106,22 +129,13 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.share = share
-	for mode, list := range p.idle {
-		excess := min(p.open-share-1, len(list))
-		for i := 0; i < excess; i++ {
-			_ = list[i].Close()
-			p.open--
-		}
-		if excess > 0 {
-			p.idle[mode] = list[excess:]
-		}
-	}
+	p.evict(share + 1)
 }
 
 // takeIdleOrOpen returns an idle connection that still responds, or opens one.
-func (p *Pool) takeIdleOrOpen(ctx context.Context, mode Mode) (*Conn, error) {
+func (p *Pool) takeIdleOrOpen(ctx context.Context, mode Mode, customer string, pop func() (*Conn, bool)) (*Conn, error) {
 	for {
-		c, hasIdle := p.popIdle(mode)
+		c, hasIdle := pop()
 		if !hasIdle {
 			break
 		}
@@ -132,42 +146,14 @@
 		p.Invalidate()
 	}
 	generation := p.countOpening()
-	conn, err := p.options.Open(ctx, mode)
+	conn, err := p.options.Open(ctx, mode, customer)
 	if err != nil {
 		p.mu.Lock()
 		p.open--
 		p.mu.Unlock()
 		return nil, err
 	}
-	return &Conn{ProtocolConn: conn, mode: mode, generation: generation}, nil
-}
-
-// popIdle removes and returns the idle connection that was returned last.
-func (p *Pool) popIdle(mode Mode) (*Conn, bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	list := p.idle[mode]
-	if len(list) == 0 {
-		return nil, false
-	}
-	p.idle[mode] = list[:len(list)-1]
-	return list[len(list)-1], true
-}
-
-// countOpening counts a connection that is about to be opened, and closes an idle one of the
-// other mode if the pool is full. It returns the pool's generation.
-func (p *Pool) countOpening() int {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.open++
-	for mode, list := range p.idle {
-		if p.open > cap(p.permits) && len(list) > 0 {
-			_ = list[0].Close()
-			p.idle[mode] = list[1:]
-			p.open--
-		}
-	}
-	return p.generation
+	return &Conn{ProtocolConn: conn, mode: mode, customer: customer, generation: generation}, nil
 }
 
 const pingTimeout = 500 * time.Millisecond
@@ -187,12 +173,17 @@
 // transaction with no answer outstanding. A connection that is not clean, or that was marked
 // unusable, is closed.
 func (p *Pool) Put(c *Conn, clean bool) {
+	listed := p.listed(c.customer)
 	p.mu.Lock()
 	delete(p.inUse, c)
-	keep := clean && !c.unusable && !p.closed && c.generation == p.generation && (p.share == 0 || p.open <= p.share+1)
+	keep := clean && listed && !c.unusable && !p.closed && c.generation == p.generation && (p.share == 0 || p.open <= p.share+1)
 	if keep {
 		c.idleSince = time.Now()
-		p.idle[c.mode] = append(p.idle[c.mode], c)
+		if !c.forStateQuery {
+			c.lastUsed = c.idleSince
+		}
+		p.idle = append(p.idle, c)
+		p.scheduleSweep()
 	}
 	p.mu.Unlock()
 	if !keep {
@@ -230,13 +221,11 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.generation++
-	for mode, list := range p.idle {
-		for _, c := range list {
-			_ = c.Close()
-		}
-		p.open -= len(list)
-		delete(p.idle, mode)
+	for _, c := range p.idle {
+		_ = c.Close()
 	}
+	p.open -= len(p.idle)
+	p.idle = nil
 }
 
 // CloseWriteConns closes every read-write connection that is in use and returns their number.
@@ -258,15 +247,15 @@
 func (p *Pool) Counts() (inUse, idle int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, list := range p.idle {
-		idle += len(list)
-	}
-	return p.open - idle, idle
+	return p.open - len(p.idle), len(p.idle)
 }
 
 func (p *Pool) close() {
 	p.mu.Lock()
 	p.closed = true
+	if p.sweep != nil {
+		p.sweep.Stop()
+	}
 	p.mu.Unlock()
 	p.Invalidate()
 }
--- a/internal/pgmem/pgmem.go
+++ b/internal/pgmem/pgmem.go
@@ -68,7 +68,7 @@
 func NewPool(address string, login Login, limit int, idleCheck time.Duration) (*member.Pool, func()) {
 	return member.NewPool(member.PoolOptions{
 		Address: address,
-		Open: func(ctx context.Context, mode member.Mode) (member.ProtocolConn, error) {
+		Open: func(ctx context.Context, mode member.Mode, _ string) (member.ProtocolConn, error) {
 			return Dial(ctx, address, login, mode)
 		},
 		Control:   func() member.SlotControl { return NewControlConn(address, login) },
--- a/internal/pgmem/pool_test.go
+++ b/internal/pgmem/pool_test.go
@@ -109,7 +109,7 @@
 func fill(g *WithT, pool *member.Pool, mode member.Mode) {
 	var conns []*member.Conn
 	for range poolSize {
-		c, err := pool.Get(context.Background(), mode)
+		c, err := pool.Get(context.Background(), mode, "")
 		g.Expect(err).NotTo(HaveOccurred())
 		conns = append(conns, c)
 	}
@@ -123,7 +123,7 @@
 	pool, p := newPool(t, time.Nanosecond)
 	fill(g, pool, member.ReadOnly)
 	p.dropConnState()
-	c, err := pool.Get(context.Background(), member.ReadOnly)
+	c, err := pool.Get(context.Background(), member.ReadOnly, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(p.opened.Load()).To(BeEquivalentTo(poolSize+1), "one request opens one new connection")
 	g.Expect(p.lostReads.Load()).To(BeEquivalentTo(1), "the other unresponsive connections are not tried in turn")
@@ -145,12 +145,12 @@
 	g := NewWithT(t)
 	pool, _ := newPool(t, time.Minute)
 	for range poolSize {
-		_, err := pool.Get(context.Background(), member.ReadWrite)
+		_, err := pool.Get(context.Background(), member.ReadWrite, "")
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
-	_, err := pool.Get(ctx, member.ReadWrite)
+	_, err := pool.Get(ctx, member.ReadWrite, "")
 	g.Expect(fault.FromError(err).Kind).To(Equal(fault.Overloaded))
 }
 
@@ -162,7 +162,7 @@
 		func(*member.Conn) bool { return false },
 		func(*member.Conn) bool { pool.Invalidate(); return true },
 	} {
-		c, err := pool.Get(context.Background(), member.ReadWrite)
+		c, err := pool.Get(context.Background(), member.ReadWrite, "")
 		g.Expect(err).NotTo(HaveOccurred())
 		pool.Put(c, makeUnusable(c))
 		_, err = pg(c).Read(make([]byte, 1))
@@ -214,7 +214,7 @@
 	g := NewWithT(t)
 	pool, p := newPool(t, time.Minute)
 	fill(g, pool, member.ReadOnly)
-	c, err := pool.Get(context.Background(), member.ReadOnly)
+	c, err := pool.Get(context.Background(), member.ReadOnly, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(c.SetDeadline(time.Now().Add(longDeadline))).To(Succeed())
 	p.dropConnState()
@@ -226,7 +226,7 @@
 func TestLongStatementIsAwaited(t *testing.T) {
 	g := NewWithT(t)
 	pool, _ := newPool(t, time.Minute)
-	c, err := pool.Get(context.Background(), member.ReadOnly)
+	c, err := pool.Get(context.Background(), member.ReadOnly, "")
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(ask(c, "SELECT pg_sleep(2)")).To(Succeed())
 }
@@ -250,7 +250,7 @@
 
 func untilAnswered(b *testing.B, pool *member.Pool) {
 	for {
-		c, err := pool.Get(context.Background(), member.ReadOnly)
+		c, err := pool.Get(context.Background(), member.ReadOnly, "")
 		if err != nil {
 			b.Error(err)
 			return
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -28,6 +28,8 @@
 	Substitutes func(database string) []string
 	// Hosts returns the host list of the documents in force.
 	Hosts func() []book.Host
+	// SheetSerial returns the serial of the sheet in force. Nil stands for 0.
+	SheetSerial func() uint64
 }
 
 // Client sends requests to the proxies that own their databases.
@@ -43,6 +45,9 @@
 
 // New returns a client and a function that closes its connections.
 func New(options Options) (*Client, func()) {
+	if options.SheetSerial == nil {
+		options.SheetSerial = func() uint64 { return 0 }
+	}
 	c := &Client{options: options, owners: make(map[string]*owner)}
 	return c, c.close
 }
@@ -110,7 +115,7 @@
 			if o != nil {
 				o.close()
 			}
-			o = &owner{host: h}
+			o = &owner{host: h, sheetSerial: c.options.SheetSerial}
 			c.owners[name] = o
 		}
 		return o
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -74,6 +74,7 @@
 	raw, err := peer.EncodeArray(Job{
 		Number: c.number, Request: r.Name, Service: r.Caller.Service, Caller: r.Caller.Name, Waited: time.Since(r.Arrived),
 		Work: row, Replicated: r.Replicated, LastAttempt: r.LastAttempt, Floor: r.Floor, Payload: x.Payload(),
+		Customer: r.Caller.Customer, KeyDigest: r.Caller.KeyDigest, SheetSerial: c.owner.sheetSerial(),
 	})
 	if err != nil {
 		return fault.Wrap(err, fault.Oversize, "relay", "the request is too large to be relayed")
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -27,6 +27,8 @@
 // owner is a proxy that serves databases, with the connections to it.
 type owner struct {
 	host book.Host
+	// sheetSerial returns the serial of this proxy's sheet.
+	sheetSerial func() uint64
 
 	mu   sync.Mutex
 	idle []*ownerConn
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -41,6 +41,11 @@
 	// Floor is the lowest position at which the caller's reads may be served.
 	Floor   group.Floor
 	Payload flow.Payload
+	// Customer and KeyDigest are those of the caller, and SheetSerial is the serial of the
+	// sheet by which the sender determined them.
+	Customer    string
+	KeyDigest   string
+	SheetSerial uint64
 }
 
 // Outcome is the answer to a Job. It is encoded as an array, so the order and the types of
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -68,12 +68,17 @@
 		return Outcome{Failed: true, Fault: fault.Leaving, Text: "this proxy is draining", Draining: true}
 	}
 	defer s.EndRequest()
-	s.Caller.Service, s.Caller.Name = job.Service, job.Caller
+	if err := checkCustomer(s.Options().Documents.Book(), job); err != nil {
+		s.Rollback()
+		return Outcome{Failed: true, Fault: err.Kind, Text: err.Message(), Draining: s.DrainStarted()}
+	}
 	x := job.Payload.Exchange()
-	if s.Pinned() && !x.InTransaction() {
+	if s.Pinned() && (!x.InTransaction() || s.Caller.Customer != job.Customer) {
 		// The transaction belongs to an earlier job, whose caller no longer uses it.
 		s.Rollback()
 	}
+	s.Caller.Service, s.Caller.Name = job.Service, job.Caller
+	s.Caller.Customer, s.Caller.KeyDigest = job.Customer, job.KeyDigest
 	if !s.Pinned() && x.InTransaction() {
 		return Outcome{Failed: true, Fault: fault.Undispatched, Text: "the transaction is not open at this proxy", Draining: s.DrainStarted()}
 	}
