Limit the usage of customers over all hosts together

Cause: the sheet has usage caps, and the chain asks a CapLimiter that nothing implements. Change: internal/usage holds the two state machines (a host requests tokens and delegates its part of the caps to one coordinator for each of four partitions; a coordinator keeps a token bucket for each customer), internal/limit runs them, and internal/app puts them into the chain and the handler of peers. The tests are new; without the packages there was nothing to fail.

--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/url"
 	"os"
+	"strconv"
 	"text/tabwriter"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/cli"
+	"poplarrouter.example/poplarrouter/internal/limit"
 )
 
 // operatorTimeout limits the time of one command to a proxy.
@@ -67,7 +69,7 @@
 	return &cli.Command{
 		CommandName: "status",
 		Summary:     "show what a proxy believes",
-		Text:        "poplarrouter status -settings FILE [-json]\n  Shows the sheet in force, databases, members, pools, queues and peers.",
+		Text:        "poplarrouter status -settings FILE [-json]\n  Shows the sheet in force, databases, members, pools, queues, usage caps and peers.",
 		Flags: func(f *flag.FlagSet) {
 			f.StringVar(&path, "settings", "", settingsUsage)
 			f.BoolVar(&raw, "json", false, "print JSON instead of tables")
@@ -134,11 +136,36 @@
 	for _, q := range s.Queues {
 		t.row(q.Member, q.Free, q.Waiting)
 	}
+	printCaps(t, s.Caps)
 	t.row()
 	t.row("PEERS", s.Peers)
 	return t.Flush()
 }
 
+// printCaps prints the customers with usage caps, and the buckets that the proxy coordinates.
+func printCaps(t table, s limit.Status) {
+	if len(s.Customers) == 0 {
+		return
+	}
+	t.row()
+	t.row("CUSTOMER", "CAP/S", "BURST", "ARRIVED/S", "USED/S", "WAITING", "BEYOND CAP", "COORDINATOR")
+	for _, c := range s.Customers {
+		t.row(c.Customer, c.Rate, c.Burst, rounded(c.Arrived), rounded(c.Used), c.Waiting, c.BeyondCap, c.Coordinator)
+	}
+	if len(s.Coordinated) == 0 {
+		return
+	}
+	t.row()
+	t.row("BUCKET", "TOKENS", "DEMAND/S", "DELEGATIONS", "SHARE")
+	for _, p := range s.Coordinated {
+		for _, b := range p.Buckets {
+			t.row(b.Customer, rounded(b.Tokens), rounded(b.Demand), p.Delegations, rounded(p.Share))
+		}
+	}
+}
+
+func rounded(x float64) string { return strconv.FormatFloat(x, 'f', 2, 64) }
+
 func drainCommand() *cli.Command {
 	var path string
 	return &cli.Command{
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -19,6 +19,7 @@
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/front"
+	"poplarrouter.example/poplarrouter/internal/limit"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -45,11 +46,12 @@
 	parts       *protocolParts
 	mesh        *peer.Connections
 	drainer     *drainer
+	limiter     *limit.Limiter
 	address     string
 }
 
-func newOperator(lc fx.Lifecycle, s config.Settings, documents *ctrl.Documents, controllers *ctrl.Controllers, f *front.Front, p *protocolParts, mesh *peer.Connections, registry *prometheus.Registry, d *drainer) (*operator, error) {
-	o := &operator{settings: s, documents: documents, controllers: controllers, front: f, parts: p, mesh: mesh, drainer: d}
+func newOperator(lc fx.Lifecycle, s config.Settings, documents *ctrl.Documents, controllers *ctrl.Controllers, f *front.Front, p *protocolParts, mesh *peer.Connections, registry *prometheus.Registry, d *drainer, limiter *limit.Limiter) (*operator, error) {
+	o := &operator{settings: s, documents: documents, controllers: controllers, front: f, parts: p, mesh: mesh, drainer: d, limiter: limiter}
 	listener, err := net.Listen("tcp", s.OperatorAddress)
 	if err != nil {
 		return nil, err
@@ -111,6 +113,7 @@
 	Databases []DatabaseStatus
 	Pools     []ctrl.PoolCount
 	Queues    []QueueStatus
+	Caps      limit.Status
 }
 
 // RankCapacity is the number of additional callers of one rank that could connect.
@@ -166,6 +169,7 @@
 		Serials:  documents.Serials(),
 		Peers:    o.mesh.ConnectedPeers(),
 		Pools:    o.controllers.Pools(),
+		Caps:     o.limiter.Status(documents.Sheet().Customers()),
 	}
 	for r := sheet.Rank(1); r <= sheet.MaxRank; r++ {
 		s.Room = append(s.Room, RankCapacity{Rank: r, Room: o.front.SpareCapacity(r)})
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -55,6 +55,8 @@
 	NonOwnedServed     Event = 704
 	RelayLost          Event = 705
 	RelayChosen        Event = 307
+	CapReached         Event = 801
+	CapCoordinator     Event = 802
 	InvariantBroken    Event = 901
 )
 
@@ -108,6 +110,8 @@
 	RelayChosen:        {"relay-chosen", logrus.InfoLevel},
 	NonOwnedServed:     {"guest-served", logrus.InfoLevel},
 	RelayLost:          {"relay-lost", logrus.WarnLevel},
+	CapReached:         {"cap-reached", logrus.InfoLevel},
+	CapCoordinator:     {"cap-coordinator", logrus.InfoLevel},
 	InvariantBroken:    {"invariant-broken", logrus.ErrorLevel},
 }
 
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -203,32 +203,6 @@
 	AgeMs  uint32
 }
 
-// CapAsk asks the coordinator of a partition for tokens of its customers. It also delegates the
-// sender's part of their usage caps to the coordinator.
-type CapAsk struct {
-	// ID identifies the ask among those of the sender, and Boot the sender's process.
-	ID        uint64
-	Boot      uint64
-	Partition uint32
-	// Ticket is that of the last grant of this coordinator, or 0.
-	Ticket int64
-	// Share is the part of the caps that is delegated, at most 1.
-	Share float64
-	// Tokens is the number of wanted tokens by customer.
-	Tokens map[string]uint32 `msgpack:",omitempty"`
-}
-
-// CapGrant answers a CapAsk.
-type CapGrant struct {
-	ID        uint64
-	Partition uint32
-	// Ticket is the coordinator's own clock reading when it sent the grant. Only the
-	// coordinator interprets it.
-	Ticket int64
-	// Tokens is the number of granted tokens by customer.
-	Tokens map[string]uint32 `msgpack:",omitempty"`
-}
-
 // VoteFrame is a vote on a primary, with the name of its database.
 type VoteFrame struct {
 	Database string
--- /dev/null
+++ b/internal/usage/cap_test.go
@@ -0,0 +1,247 @@
+package usage_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"poplarrouter.example/poplarrouter/internal/usage"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+const windowLength = 5 * time.Second
+
+// window counts the operations of one customer in the last windowLength, and knows the limits
+// that applied in it.
+type window struct {
+	runs   []time.Duration
+	limits []limitSince
+}
+
+type limitSince struct {
+	at    time.Duration
+	limit float64
+}
+
+func limitOf(c sheet.Customer) float64 { return (c.Rate*windowLength.Seconds()+c.Burst)*1.1 + 20 }
+
+// add counts an operation and returns the number in the window that ends with it, and the
+// limit. A lower limit applies one window after it takes effect.
+func (w *window) add(now time.Duration) (count int, limit float64) {
+	w.runs = append(w.runs, now)
+	w.runs = slices.DeleteFunc(w.runs, func(at time.Duration) bool { return at <= now-windowLength })
+	for i, l := range w.limits {
+		if i+1 == len(w.limits) || w.limits[i+1].at > now-2*windowLength {
+			limit = max(limit, l.limit)
+		}
+	}
+	return len(w.runs), limit
+}
+
+func testCustomers() []sheet.Customer {
+	var list []sheet.Customer
+	for i, rate := range []float64{300, 100, 60, 40, 20, 8, 3, 0.5} {
+		list = append(list, sheet.Customer{Name: fmt.Sprint("customer-", i), Rate: rate, Burst: []float64{0, 1, 2}[i%3] * rate})
+	}
+	return list
+}
+
+// disruption disturbs a fleet every interval.
+type disruption struct {
+	name  string
+	apply func(f *fleet, s *sites)
+}
+
+// sites is what disruptions know about a fleet.
+type sites struct {
+	windows map[string]*window
+	added   int
+}
+
+func (f *fleet) anyNode() *node { return f.nodes[f.IntN(len(f.nodes))] }
+
+// coordinators returns a node that coordinates a partition, mostly, since disruptions of other
+// hosts have little effect.
+func (f *fleet) coordinatorNode() *node {
+	asker := f.anyNode()
+	if n, found := f.byName[asker.host.Coordinator(uint32(f.IntN(usage.Partitions)))]; found && f.IntN(4) > 0 {
+		return n
+	}
+	return asker
+}
+
+func (f *fleet) span(from, to time.Duration) time.Duration {
+	return from + time.Duration(f.Int64N(int64(to-from)))
+}
+
+func killAndRestart(f *fleet, _ *sites) {
+	for range 1 + f.IntN(4) {
+		n := f.coordinatorNode()
+		if n.down {
+			continue
+		}
+		f.stop(n)
+		f.after(f.span(10*time.Millisecond, 3*time.Second), nil, func() {
+			if n.down {
+				f.start(n.peer, f.listed)
+			}
+		})
+	}
+}
+
+func cut(f *fleet, _ *sites) {
+	groups := 1 + f.IntN(4)
+	for _, n := range f.nodes {
+		f.group[n.peer.Name] = f.IntN(groups)
+	}
+	if f.IntN(3) == 0 {
+		clear(f.group)
+		f.group[f.coordinatorNode().peer.Name] = 1
+	}
+}
+
+func freeze(f *fleet, _ *sites) {
+	for range 1 + f.IntN(4) {
+		if n := f.coordinatorNode(); !n.frozen && !n.down {
+			f.freeze(n, f.span(50*time.Millisecond, 4*time.Second))
+		}
+	}
+}
+
+func disturbMessages(f *fleet, _ *sites) {
+	f.lost, f.repeated, f.late = 0.3*f.Float64(), 0.3*f.Float64(), 0.3*f.Float64()
+}
+
+func changeList(f *fleet, s *sites) {
+	i := f.IntN(len(f.listed))
+	old := f.byName[f.listed[i].Name]
+	switch f.IntN(3) {
+	case 0: // a host is replaced by one of another name
+		f.stop(old)
+		f.listed = slices.Delete(slices.Clone(f.listed), i, i+1)
+		fallthrough
+	case 1: // a host is added
+		s.added++
+		p := f.newPeer(fmt.Sprint("added-", s.added))
+		f.listed = append(slices.Clone(f.listed), p)
+		f.start(p, f.listed)
+	case 2: // a host starts or stops to drain
+		f.listed = slices.Clone(f.listed)
+		f.listed[i].Draining = !f.listed[i].Draining
+	}
+	f.announce(2 * time.Second)
+}
+
+// dropCutOff removes the entries of the hosts that are cut off, as the store does when they
+// are not renewed, while these hosts run on.
+func dropCutOff(f *fleet, _ *sites) {
+	if f.IntN(2) == 0 {
+		clear(f.group)
+		for _, n := range f.nodes[1:] {
+			if f.IntN(3) == 0 {
+				f.group[n.peer.Name] = 1
+			}
+		}
+	}
+	f.listed = nil
+	for _, n := range f.nodes {
+		if f.group[n.peer.Name] == 0 && !n.down {
+			f.listed = append(f.listed, n.peer)
+		}
+	}
+	f.announce(2 * time.Second)
+}
+
+func changeCaps(f *fleet, s *sites) {
+	names := f.caps()
+	c := names[f.IntN(len(names))]
+	factor := []float64{0.2, 0.5, 2, 5}[f.IntN(4)]
+	if c.Rate*factor > 500 || c.Rate*factor < 0.2 {
+		return
+	}
+	c.Rate, c.Burst = c.Rate*factor, c.Burst*factor
+	f.customers[c.Name] = c
+	const spread = 200 * time.Millisecond
+	for _, n := range f.nodes {
+		f.after(f.span(0, spread), n, func() { f.setCustomers(n) })
+	}
+	// Until the last host has the new cap, the greater one applies.
+	w := s.windows[c.Name]
+	last := w.limits[len(w.limits)-1].limit
+	w.limits = append(w.limits, limitSince{f.now, max(last, limitOf(c))}, limitSince{f.now + spread, limitOf(c)})
+}
+
+var disruptions = []disruption{
+	{"none", func(*fleet, *sites) {}},
+	{"loss and restart", killAndRestart},
+	{"cuts", cut},
+	{"freezes", freeze},
+	{"lost, late and repeated messages", disturbMessages},
+	{"hosts added and replaced", changeList},
+	{"entries of cut off hosts expire", dropCutOff},
+	{"caps changed", changeCaps},
+	{"all", func(f *fleet, s *sites) {
+		for _, apply := range []func(*fleet, *sites){killAndRestart, cut, freeze, disturbMessages, changeCaps} {
+			if f.IntN(3) == 0 {
+				apply(f, s)
+			}
+		}
+	}},
+}
+
+// TestCapHoldsInEveryWindow guards against operations beyond the cap in any window of 5 s,
+// while customers ask for three times their cap and hosts, links and configuration fail or
+// change in the ways listed. Each way is judged on at least 10,000 windows.
+func TestCapHoldsInEveryWindow(t *testing.T) {
+	for _, d := range disruptions {
+		t.Run(d.name, func(t *testing.T) {
+			for seed := range uint64(4) {
+				windows := checkWindows(t, seed, d)
+				if windows < 10_000 {
+					t.Errorf("seed %d: judged %d windows, want at least 10,000", seed, windows)
+				}
+			}
+		})
+	}
+}
+
+// checkWindows runs a fleet under a disruption, fails the test if a window contains too many
+// operations, and returns the number of windows.
+func checkWindows(t *testing.T, seed uint64, d disruption) int {
+	t.Helper()
+	customers := testCustomers()
+	f := newFleet(seed, 24, customers)
+	s := &sites{windows: make(map[string]*window)}
+	for _, c := range customers {
+		s.windows[c.Name] = &window{limits: []limitSince{{0, limitOf(c)}}}
+		f.load(c.Name, 3*c.Rate)
+	}
+	windows, exceeded, fullest := 0, 0, 0.0
+	f.onRun = func(customer string) {
+		windows++
+		count, limit := s.windows[customer].add(f.now)
+		fullest = max(fullest, float64(count)/limit)
+		if float64(count) > limit {
+			if exceeded++; exceeded <= 3 {
+				t.Errorf("seed %d: at %v %s has %d operations in a window, want at most %.1f", seed, f.now, customer, count, limit)
+			}
+		}
+	}
+	for range 30 {
+		f.runUntil(f.now + f.span(500*time.Millisecond, 4*time.Second))
+		d.apply(f, s)
+	}
+	t.Logf("seed %d: %d windows, the fullest with %.3f of its limit", seed, windows, fullest)
+	return windows
+}
+
+// load lets operations of a customer arrive at random hosts, on average rate a second.
+func (f *fleet) load(customer string, rate float64) {
+	var next func()
+	next = func() {
+		f.arrive(f.anyNode(), customer)
+		f.after(time.Duration(f.ExpFloat64()/rate*float64(time.Second)), nil, next)
+	}
+	f.after(0, nil, next)
+}
--- /dev/null
+++ b/internal/usage/coord.go
@@ -0,0 +1,278 @@
+package usage
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+// whole is the number of parts that a cap is divided into. Delegations are counted in whole
+// parts, so that their sum is exact.
+const whole = 1 << 40
+
+// forgetTime is how long a host without a delegation is remembered, so that its late and
+// repeated asks are recognized.
+const forgetTime = 10 * DelegationTime
+
+// Coordinator grants tokens of the partitions for which hosts have delegated their parts of
+// the caps to it.
+type Coordinator struct {
+	policy Policy
+	pools  [Partitions]*pool
+}
+
+// pool is the authority over one partition and the buckets of its customers.
+type pool struct {
+	policy      Policy
+	delegations map[string]*delegation
+	// parts is the sum of all valid delegations.
+	parts int64
+	// filled is the integral of share over time in seconds, as of updated.
+	filled  float64
+	updated time.Duration
+	// nextExpiry is no later than the next time at which a delegation expires or is forgotten.
+	nextExpiry time.Duration
+	buckets    map[string]*bucket
+}
+
+// delegation is a host's part of the caps.
+type delegation struct {
+	host    string
+	boot    uint32
+	lastID  uint64
+	parts   int64
+	expires time.Duration
+	seen    time.Duration
+}
+
+// end returns when the delegation expires, or is forgotten if it has expired.
+func (d *delegation) end() time.Duration {
+	if d.parts > 0 {
+		return d.expires
+	}
+	return d.seen + forgetTime
+}
+
+// NewCoordinator returns a coordinator without delegations. The clock reading must be
+// unlikely to equal one of an earlier process of the host, whose tickets are void: clocks
+// start at a random reading.
+func NewCoordinator(policy Policy, now time.Duration) *Coordinator {
+	c := &Coordinator{policy: policy}
+	for i := range c.pools {
+		c.pools[i] = &pool{policy: policy, delegations: make(map[string]*delegation), updated: now, nextExpiry: math.MaxInt64, buckets: make(map[string]*bucket)}
+	}
+	return c
+}
+
+// SetCustomers replaces the caps. A bucket keeps its level as far as the new cap allows; that
+// of a new customer starts empty.
+func (c *Coordinator) SetCustomers(now time.Duration, customers []sheet.Customer) {
+	listed := make(map[string]bool, len(customers))
+	for _, p := range c.pools {
+		p.advance(now)
+		p.updateAll()
+	}
+	for _, customer := range customers {
+		if !customer.Capped() || listed[customer.Name] {
+			continue
+		}
+		listed[customer.Name] = true
+		p := c.pools[PartitionOf(customer.Name)]
+		b, found := p.buckets[customer.Name]
+		if !found {
+			b = &bucket{filled: p.filled}
+			p.buckets[customer.Name] = b
+		}
+		b.setCap(customer, c.policy, p.share())
+		if !found {
+			b.level = p.share() * min(c.policy.initial(), b.capacity)
+		}
+	}
+	for _, p := range c.pools {
+		maps.DeleteFunc(p.buckets, func(name string, _ *bucket) bool { return !listed[name] })
+	}
+}
+
+// Handle answers an ask of a host.
+func (c *Coordinator) Handle(now time.Duration, host string, a Ask) Grant {
+	g := Grant{ID: a.ID, Partition: a.Partition, Ticket: now.Milliseconds()}
+	if a.Partition >= Partitions {
+		return g
+	}
+	p := c.pools[a.Partition]
+	p.advance(now)
+	if a.Ticket == 0 && len(a.Tokens) == 0 {
+		return g
+	}
+	if !p.accept(now, host, a) {
+		// Without a ticket, the grant does not confirm that a delegation was withdrawn.
+		g.Ticket = 0
+		return g
+	}
+	for _, name := range slices.Sorted(maps.Keys(a.Tokens)) {
+		granted, beyond := p.take(now, name, a.Tokens[name], a.Again[name])
+		if granted > 0 {
+			if g.Tokens == nil {
+				g.Tokens = make(map[string]uint32, len(a.Tokens))
+			}
+			g.Tokens[name] = granted
+		}
+		if beyond {
+			g.Beyond = append(g.Beyond, name)
+		}
+	}
+	return g
+}
+
+func (p *pool) take(now time.Duration, customer string, n, again uint32) (granted uint32, beyond bool) {
+	b, found := p.buckets[customer]
+	if !found {
+		// The host's sheet is newer than this one, or older.
+		return 0, false
+	}
+	b.update(p.filled, p.share())
+	return b.take(now, n, again, p.share())
+}
+
+// accept applies the delegation of an ask. It reports false for a repeated ask and for one
+// that a later one has overtaken.
+func (p *pool) accept(now time.Duration, host string, a Ask) bool {
+	d, found := p.delegations[host]
+	if !found {
+		d = &delegation{host: host, boot: a.Boot}
+		p.delegations[host] = d
+	}
+	if d.boot != a.Boot {
+		p.setParts(d, 0)
+		d.boot, d.lastID = a.Boot, 0
+	}
+	if a.ID <= d.lastID {
+		return false
+	}
+	d.lastID, d.seen = a.ID, now
+	ticket := time.Duration(a.Ticket) * time.Millisecond
+	if a.Ticket != 0 && ticket <= now && now < ticket+DelegationTime {
+		d.expires = ticket + DelegationTime
+		var parts int64
+		if a.Hosts > 0 {
+			parts = whole / int64(a.Hosts)
+		}
+		p.setParts(d, parts)
+	}
+	p.nextExpiry = min(p.nextExpiry, d.end())
+	return true
+}
+
+// setParts changes a delegation. The pool must be up to date.
+func (p *pool) setParts(d *delegation, parts int64) {
+	if d.parts == parts {
+		return
+	}
+	p.updateAll()
+	added := 0.0
+	if d.parts == 0 {
+		added = float64(parts) / whole * p.policy.initial()
+	}
+	p.parts += parts - d.parts
+	d.parts = parts
+	for _, b := range p.buckets {
+		b.level += added
+	}
+	p.updateAll()
+}
+
+// share returns the part of the caps that is delegated to this coordinator. It is at most 1,
+// also while hosts count differing numbers of hosts.
+func (p *pool) share() float64 { return min(1, float64(p.parts)/whole) }
+
+func (p *pool) updateAll() {
+	for _, b := range p.buckets {
+		b.update(p.filled, p.share())
+	}
+}
+
+// advance moves the pool to a time. Delegations end exactly when they expire, however late
+// that is noticed.
+func (p *pool) advance(now time.Duration) {
+	if p.nextExpiry <= now {
+		p.expire(now)
+	}
+	p.fill(now)
+}
+
+// fill accounts for the authority up to a time.
+func (p *pool) fill(until time.Duration) {
+	if until > p.updated {
+		p.filled += p.share() * (until - p.updated).Seconds()
+		p.updated = until
+	}
+}
+
+func (p *pool) expire(now time.Duration) {
+	var expired []*delegation
+	for _, d := range p.delegations {
+		if d.parts > 0 && d.expires <= now {
+			expired = append(expired, d)
+		}
+	}
+	slices.SortFunc(expired, func(a, b *delegation) int { return cmp.Compare(a.expires, b.expires) })
+	for _, d := range expired {
+		p.fill(d.expires)
+		p.setParts(d, 0)
+	}
+	p.nextExpiry = math.MaxInt64
+	for host, d := range p.delegations {
+		if d.parts == 0 && d.seen+forgetTime <= now {
+			delete(p.delegations, host)
+			continue
+		}
+		p.nextExpiry = min(p.nextExpiry, d.end())
+	}
+}
+
+// BucketStatus is the state of a customer's bucket at its coordinator.
+type BucketStatus struct {
+	Customer string
+	Rate     float64
+	Tokens   float64
+	// Demand is the number of tokens requested a second.
+	Demand float64
+}
+
+// PoolStatus is the state of a partition at its coordinator.
+type PoolStatus struct {
+	Partition uint32
+	// Delegations is the number of hosts whose parts are delegated, and Share the sum of
+	// these parts.
+	Delegations int
+	Share       float64
+	Buckets     []BucketStatus
+}
+
+// Status returns the state of the partitions for which this coordinator has delegations.
+func (c *Coordinator) Status(now time.Duration) []PoolStatus {
+	var list []PoolStatus
+	for i, p := range c.pools {
+		p.advance(now)
+		s := PoolStatus{Partition: uint32(i), Share: p.share()} //nolint:gosec // less than Partitions
+		for _, d := range p.delegations {
+			if d.parts > 0 {
+				s.Delegations++
+			}
+		}
+		if s.Delegations == 0 {
+			continue
+		}
+		for _, name := range slices.Sorted(maps.Keys(p.buckets)) {
+			b := p.buckets[name]
+			b.update(p.filled, p.share())
+			s.Buckets = append(s.Buckets, BucketStatus{Customer: name, Rate: b.rate, Tokens: b.level, Demand: b.demand.rate(now, demandPeriod)})
+		}
+		list = append(list, s)
+	}
+	return list
+}
