Let a rank be served again after a slow period of a member

Cause: the hold-time estimate of a rank learns only from admitted work. Once it exceeded the time limit of the rank, all work of the rank was refused as late for good. Change: while an estimate would refuse any work with the same time limit, one piece of new work at a time is a probe, which is refused only at its deadline. A probe that ends in time replaces the estimate if that lowers its bound. Waiting work is refused early as before.

--- a/internal/slots/permits.go
+++ b/internal/slots/permits.go
@@ -12,7 +12,9 @@
 	// QueueLimit is the maximum amount of waiting work of each rank.
 	QueueLimit int
 	// RejectEarly rejects work as soon as the estimated hold time of its rank
-	// exceeds the time to its deadline, not only once the deadline has passed.
+	// exceeds the time to its deadline, not only once the deadline has passed. While the
+	// estimate refuses all work of a rank, one piece of work at a time is exempt and tests
+	// it, so that the rank is served again after a slow period of the member.
 	RejectEarly bool
 	// MaxConsecutive is how many pieces of work of one host may run on a slot in
 	// succession before the slot is granted to the next work of any host.
@@ -97,6 +99,7 @@
 // Request requests a slot for work, whose ID must be new.
 func (p *PermitPool) Request(w Work, now time.Time) Change {
 	var c Change
+	p.queue.StartProbe(w, now)
 	if rejected, full := p.queue.Add(w); full {
 		c.Overflow = append(c.Overflow, rejected)
 	}
@@ -178,7 +181,7 @@
 		return
 	}
 	if p.rules.RejectEarly {
-		p.queue.ObserveHoldTime(ended.work.Rank, now.Sub(ended.since))
+		p.queue.ObserveHoldTime(ended.work, ended.since, now)
 	}
 	p.queue.WithdrawOffer(ended.offered.ID)
 	delete(p.permits, id)
--- a/internal/slots/slots.go
+++ b/internal/slots/slots.go
@@ -68,8 +68,10 @@
 	// byID maps the ID of waiting work to its subqueue.
 	byID   map[uint64]*subqueue
 	served Served
-	// holdTimes holds the estimated hold time of each rank.
+	// holdTimes holds the estimated hold time of each rank, and probes the work that tests
+	// it, or nil.
 	holdTimes [sheet.MaxRank + 1]estimate
+	probes    [sheet.MaxRank + 1]*Work
 	// ranks and callers count the waiting work.
 	ranks   [sheet.MaxRank + 1]int
 	callers map[CallerKey]int
@@ -145,12 +147,18 @@
 	if s == nil {
 		return false
 	}
+	q.endProbe(q.take(s, id))
+	return true
+}
+
+// take removes work from its subqueue and returns it.
+func (q *Queue) take(s *subqueue, id uint64) Work {
 	w := s.remove(id)
 	q.uncount(w)
 	if len(s.work) == 0 {
 		q.dropEmpty()
 	}
-	return true
+	return w
 }
 
 // uncount updates the counts and indexes after work was removed from its subqueue.
@@ -168,55 +176,21 @@
 	q.subqueues = slices.DeleteFunc(q.subqueues, func(s *subqueue) bool { return len(s.work) == 0 })
 }
 
-// Constants of the hold time estimate, equal to those of the TCP retransmission
-// timeout (RFC 6298).
-const (
-	// A new time contributes 1/meanDivisor to the running mean and
-	// 1/deviationDivisor to the running deviation.
-	meanDivisor      = 8
-	deviationDivisor = 4
-	// deviations is how many deviations the upper bound lies above the mean.
-	deviations = 4
-)
-
-// estimate is a running estimate of how long work holds a slot.
-type estimate struct {
-	mean      time.Duration
-	deviation time.Duration
-}
-
-// with returns the estimate updated by one hold time.
-func (e estimate) with(took time.Duration) estimate {
-	if e.mean == 0 {
-		return estimate{mean: took, deviation: took / 2}
-	}
-	diff := took - e.mean
-	e.mean += diff / meanDivisor
-	e.deviation += (diff.Abs() - e.deviation) / deviationDivisor
-	return e
-}
-
-// bound returns the estimated upper bound of a hold time.
-func (e estimate) bound() time.Duration { return e.mean + deviations*e.deviation }
-
-// ObserveHoldTime updates the estimate of a rank with the time for which its work
-// held a slot.
-func (q *Queue) ObserveHoldTime(rank sheet.Rank, took time.Duration) {
-	q.holdTimes[rank] = q.holdTimes[rank].with(took)
-}
-
-// MeanHoldTime returns the estimated mean time for which work of a rank holds a
-// slot.
-func (q *Queue) MeanHoldTime(rank sheet.Rank) time.Duration { return q.holdTimes[rank].mean }
-
 // RemoveLate removes and returns all work that might miss its deadline if it began
 // now: the time to its deadline is no longer than the upper bound of the hold time of
-// its rank. Without an observed hold time that is the work whose deadline has
-// passed.
+// its rank. Without an observed hold time, and for a probe, that is the work whose
+// deadline has passed.
 func (q *Queue) RemoveLate(now time.Time) []Work {
 	var late []Work
 	for _, s := range q.subqueues {
-		late = append(late, s.removeLate(now.Add(q.holdTimes[s.key.Rank].bound()))...)
+		rank := s.key.Rank
+		limit := now.Add(q.holdTimes[rank].bound())
+		late = append(late, s.removeLate(func(w Work) bool {
+			if q.isProbe(w) {
+				return !now.Before(w.Deadline)
+			}
+			return !limit.Before(w.Deadline)
+		}, limit)...)
 	}
 	for _, w := range late {
 		q.uncount(w)
@@ -262,7 +236,7 @@
 		return false
 	}
 	key := s.key
-	q.Remove(id)
+	q.take(s, id)
 	q.served.Ranks[key.Rank]++
 	q.served.Callers[key]++
 	q.decay()
--- a/internal/slots/subqueue.go
+++ b/internal/slots/subqueue.go
@@ -37,14 +37,15 @@
 	return w
 }
 
-// removeLate removes and returns the work whose deadline is not after limit.
-func (s *subqueue) removeLate(limit time.Time) []Work {
+// removeLate removes and returns the late work. No work is late whose deadline is after
+// limit.
+func (s *subqueue) removeLate(isLate func(Work) bool, limit time.Time) []Work {
 	if limit.Before(s.earliest) {
 		return nil
 	}
 	var late []Work
 	s.work = slices.DeleteFunc(s.work, func(w Work) bool {
-		if limit.Before(w.Deadline) {
+		if !isLate(w) {
 			return false
 		}
 		late = append(late, w)
