Choose among equally suitable members and owners by load, not by rotation alone

Cause: reads rotate by the caller's ID among the nearest members, and relayed requests go to the owner with the fewest jobs of this proxy in flight. Neither follows the load that other hosts cause or the capacity of an owner. The rotation over all members also gave a replica that follows farther members in the list their turns as well. Change: internal/even chooses one of several equally suitable candidates. The turn decides unless this host has clearly more work in flight at the preferred candidate than at another one, or reports have shown more work there than at the average one for some time. internal/chain uses it for the nearest members, internal/relay for owners that are equal in penalty. The reports are the demands that heartbeats carry already. Choices are counted in poplarrouter_balance_choices_total; event 301 has the field Choice.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -224,7 +224,7 @@
 	return quota.New(size, quota.MinimumShares(slots.DefaultMinimumShares().Share))
 }
 
-func newHandler(s config.Settings, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer) chain.Handler {
+func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer) chain.Handler {
 	return chain.New(chain.Options{
 		Controllers:     controllers,
 		Documents:       documents,
@@ -241,6 +241,7 @@
 		ConfirmTimeout:  s.Timing.ConfirmMs.Duration(),
 		Draining:        d.draining,
 		Permits:         p.permits(leases),
+		Balances:        newMemberBalances(registry, p),
 		Relay:           p.relay,
 	})
 }
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -13,6 +13,7 @@
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/even"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/flow"
 	"poplarrouter.example/poplarrouter/internal/gate"
@@ -108,7 +109,8 @@
 	shares := share.New(share.Options{
 		Host: s.Host, Region: s.Region, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
-	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts})
+	ownerBalances := even.NewBalances()
+	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts, Load: shares.HostLoad, Balances: ownerBalances})
 	onStop(lc, closeRelays)
 	p := &protocolParts{
 		protocol:        flow.Protocol{NewCaller: caller.New},
@@ -129,11 +131,12 @@
 		fenceBelow: func(ctx context.Context, database string, token uint64) error {
 			return flow.InvalidateLowerTokens(ctx, promoter, database, token)
 		},
-		permits: func(*gate.LeaseManager) chain.PermitPool { return shares },
-		queues:  shares.Queues,
-		demand:  shares,
-		leased:  noLeases{duty.NewCell[[]ctrl.Watched](nil)},
-		bind:    l.bind,
+		permits:       func(*gate.LeaseManager) chain.PermitPool { return shares },
+		queues:        shares.Queues,
+		demand:        shares,
+		ownerBalances: ownerBalances,
+		leased:        noLeases{duty.NewCell[[]ctrl.Watched](nil)},
+		bind:          l.bind,
 	}
 	dial := func(ctx context.Context, m view.Member, kind meter.Kind) (flow.ControlConn, error) {
 		return memb.Dial(ctx, bytes.Dial(kind, m.Region), m.Database, m, s.Host)
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -11,6 +11,7 @@
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/elect"
+	"poplarrouter.example/poplarrouter/internal/even"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/gate"
@@ -53,6 +54,9 @@
 	queues func() map[string]*gate.Gate
 	// demand exchanges connection demand with other proxies.
 	demand connectionDemand
+	// ownerBalances is the state of the choice among owners, or nil if every proxy serves all
+	// databases.
+	ownerBalances *even.Balances
 	// leased provides the databases for which this proxy manages slot leases.
 	leased gate.Databases
 	// removalDelay is how long a member is kept after it disappears from the list.
--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/even"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/member"
@@ -236,6 +237,9 @@
 	Draining func() bool
 	// Permits limits the number of requests that run on each member.
 	Permits PermitPool
+	// Balances is the state of the choice among members that are equally suitable. Nil means a
+	// new one.
+	Balances *even.Balances
 	// Relay sends requests to the owners of their databases. Nil means that this proxy serves
 	// every database.
 	Relay Relay
@@ -285,6 +289,9 @@
 	if o.Suspended == nil {
 		o.Suspended = func() time.Duration { return 0 }
 	}
+	if o.Balances == nil {
+		o.Balances = even.NewBalances()
+	}
 	f := &filters{Options: o, suspensions: &suspensionDetector{suspended: o.Suspended}}
 	h := f.run
 	for _, filter := range []Filter{f.confirm, f.acquire, f.route, f.attachController, f.relay, f.admit, f.limitUsage, f.authenticate, f.classify} {
--- a/internal/chain/find.go
+++ b/internal/chain/find.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/even"
 	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -38,8 +39,10 @@
 	Members []view.Member
 	// Floor is the position that all of them have reached.
 	Floor group.Floor
-	// Reason names the rule by which the floor was determined.
+	// Reason names the rule by which the floor was determined, and Choice the one by which the
+	// first member was chosen among those at the same distance.
 	Reason string
+	Choice even.Reason
 }
 
 // Finder selects members for the reads of a proxy in one region and data centre.
@@ -49,6 +52,9 @@
 	// ReplicaWait is how long a read waits for a replica of its own region to reach its floor
 	// before it considers other members.
 	ReplicaWait time.Duration
+	// Choose selects one of several members at the same distance, and names the rule that
+	// decided. If it is nil, the read's rotation decides.
+	Choose func(w ReadRequirement, equal []view.Member) (int, even.Reason)
 }
 
 // Find returns the members that may serve a read. It returns a NoReader fault if no member
@@ -67,8 +73,8 @@
 		if v.Fate(w.Floor) == group.Lost {
 			return Candidates{}, fault.New(fault.FloorLost, "route read", "position %s of database %q was lost when its primary was replaced", w.Floor, w.Database)
 		}
-		if targets := f.sort(v, w, v.Readers(floor)); len(targets) > 0 {
-			return Candidates{Members: targets, Floor: floor, Reason: reason}, nil
+		if targets, choice := f.sort(v, w, v.Readers(floor)); len(targets) > 0 {
+			return Candidates{Members: targets, Floor: floor, Reason: reason, Choice: choice}, nil
 		}
 		// The floor was in a log tail that a change of primary truncated before it was
 		// acknowledged, so the floor is determined again.
@@ -136,14 +142,25 @@
 }
 
 // sort orders members by distance: its own region first, replicas before the primary, then
-// its own data centre. The read's rotation distributes reads over equally distant members.
-func (f Finder) sort(v view.View, w ReadRequirement, list []view.Member) []view.Member {
-	if n := uint64(len(list)); n > 0 {
-		turn := w.Rotation % n
-		list = slices.Concat(list[turn:], list[:turn])
-	}
+// its own data centre. Among members at the same distance the read's rotation decides, for
+// the nearest also their load. It returns the rule that decided among the nearest.
+func (f Finder) sort(v view.View, w ReadRequirement, list []view.Member) ([]view.Member, even.Reason) {
+	list = slices.Clone(list)
 	slices.SortStableFunc(list, func(a, b view.Member) int { return f.distance(v, a) - f.distance(v, b) })
-	return list
+	reason := even.Turn
+	for from := 0; from < len(list); {
+		equal := list[from:]
+		if i := slices.IndexFunc(equal, func(m view.Member) bool { return f.distance(v, m) != f.distance(v, equal[0]) }); i > 0 {
+			equal = equal[:i]
+		}
+		first := int(w.Rotation % uint64(len(equal))) //nolint:gosec // less than the length of a slice
+		if from == 0 && len(equal) > 1 && f.Choose != nil {
+			first, reason = f.Choose(w, equal)
+		}
+		copy(equal, slices.Concat(equal[first:], equal[:first]))
+		from += len(equal)
+	}
+	return list, reason
 }
 
 func (f Finder) distance(v view.View, m view.Member) int {
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -75,8 +75,12 @@
 	if err != nil {
 		return err
 	}
+	nearest := found.Members[0]
 	r.candidates, r.readFloor = f.byCapacity(r.Work.Database, found.Members), found.Floor
 	fields := f.routeFields(r, r.candidates[0], found.Reason, r.readFloor.Term)
+	if fields["Choice"] = found.Choice; r.candidates[0].Name != nearest.Name {
+		fields["Choice"] = choiceByPermits
+	}
 	if v := r.controller.View(); isPrimary(v, r.candidates[0]) {
 		fields["Passed"] = skippedMembers(v, found.Members, time.Now())
 	}
@@ -102,6 +106,9 @@
 	return list
 }
 
+// choiceByPermits is logged if the chosen member has no spare permit and another one has.
+const choiceByPermits = "spare permits"
+
 // byCapacity puts members with spare capacity first, in their given order, then the others
 // by how little work waits for them, so that a burst near one member spreads to the others.
 func (f *filters) byCapacity(database string, list []view.Member) []view.Member {
@@ -117,7 +124,7 @@
 }
 
 func (f *filters) finder() Finder {
-	return Finder{Region: f.Region, DataCentre: f.DataCentre, ReplicaWait: f.ReplicaWait}
+	return Finder{Region: f.Region, DataCentre: f.DataCentre, ReplicaWait: f.ReplicaWait, Choose: f.chooseMember}
 }
 
 func (f *filters) routeFields(r *Request, m view.Member, reason string, term group.Term) event.Fields {
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -9,6 +9,7 @@
 
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/chain"
+	"poplarrouter.example/poplarrouter/internal/even"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
@@ -28,6 +29,12 @@
 	Substitutes func(database string) []string
 	// Hosts returns the host list of the documents in force.
 	Hosts func() []book.Host
+	// Load returns the work that another proxy last reported to have and the time since, or
+	// false if it is unknown. Nil means that it is always unknown.
+	Load func(host string) (work float64, age time.Duration, found bool)
+	// Balances is the state of the choice among owners that are equally suitable. Nil means
+	// a new one.
+	Balances *even.Balances
 }
 
 // Client sends requests to the proxies that own their databases.
@@ -43,6 +50,9 @@
 
 // New returns a client and a function that closes its connections.
 func New(options Options) (*Client, func()) {
+	if options.Balances == nil {
+		options.Balances = even.NewBalances()
+	}
 	c := &Client{options: options, owners: make(map[string]*owner)}
 	return c, c.close
 }
@@ -55,7 +65,7 @@
 	}
 	list := c.candidates(ownerHosts, false)
 	list = append(list, c.candidates(c.options.Substitutes(database), true)...)
-	order := OrderCandidates(list, c.options.Region, turn, time.Now())
+	order := orderCandidates(c.options.Balances, database, list, c.options.Region, turn, time.Now())
 	if i := slices.Index(order, c.options.Host); i >= 0 {
 		// This host is a substitute: it serves the request itself once the proxies before
 		// it have been tried.
@@ -70,6 +80,9 @@
 		if o := c.owner(host); o != nil {
 			candidate := o.candidate()
 			candidate.Substitute = substitutes
+			if c.options.Load != nil {
+				candidate.Reported, candidate.ReportAge, candidate.HasReport = c.options.Load(host)
+			}
 			list = append(list, candidate)
 		}
 	}
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"poplarrouter.example/poplarrouter/internal/even"
 )
 
 // Candidate is a proxy that may serve a database, with what the caller's proxy has observed
@@ -27,6 +29,13 @@
 	// the first of these was sent.
 	InFlight   int
 	OldestSent time.Time
+	// Reported is the work that the proxy last reported to have, and ReportAge the time since.
+	// HasReport is not set if it is unknown.
+	Reported  float64
+	ReportAge time.Duration
+	HasReport bool
+	// Capacity is the processor time of its host in cores, or 0 if it is unknown.
+	Capacity float64
 }
 
 // slowAnswer is how long a job may be unanswered before its proxy is tried after
@@ -34,41 +43,106 @@
 // hundred milliseconds at most.
 const slowAnswer = 400 * time.Millisecond
 
+// lightLoad is the work at an owner of average capacity, in jobs, below which it counts as
+// lightly loaded: about half of the connections that it has to one member.
+const lightLoad = 4
+
 // OrderCandidates returns the hosts in the order in which a request tries them. The criteria,
 // the most significant first, are: not draining, not in backoff, owners before
-// substitutes, responsive within slowAnswer, in the given region, fewest jobs in flight.
-// turn rotates candidates that are equal in all of these.
+// substitutes, responsive within slowAnswer, in the given region. Among the candidates that
+// are best by these criteria the turn selects the first one, unless it is clearly busier
+// for its capacity than another one. The others follow by their jobs in flight.
 func OrderCandidates(list []Candidate, region string, turn uint64, now time.Time) []string {
-	if n := uint64(len(list)); n > 0 {
-		first := turn % n
-		list = slices.Concat(list[first:], list[:first])
+	return orderCandidates(even.NewBalances(), "", list, region, turn, now)
+}
+
+// orderCandidates is OrderCandidates with what this proxy has learnt of a database's owners.
+func orderCandidates(b *even.Balances, database string, list []Candidate, region string, turn uint64, now time.Time) []string {
+	if len(list) == 0 {
+		return nil
 	}
-	penalty := func(c Candidate) int {
-		const draining, backoff, substitute, slow, remote = 16, 8, 4, 2, 1
-		sum := 0
-		if now.Before(c.DrainingUntil) {
-			sum += draining
-		}
-		if now.Before(c.BackoffUntil) || (c.Failing && c.InFlight > 0) {
-			sum += backoff
-		}
-		if c.Substitute {
-			sum += substitute
-		}
-		if c.InFlight > 0 && now.Sub(c.OldestSent) > slowAnswer {
-			sum += slow
-		}
-		if c.Region != region {
-			sum += remote
+	best := list[0]
+	for _, c := range list {
+		if c.penalty(region, now) < best.penalty(region, now) {
+			best = c
 		}
-		return sum
 	}
-	slices.SortStableFunc(list, func(a, b Candidate) int {
-		return cmp.Or(cmp.Compare(penalty(a), penalty(b)), cmp.Compare(a.InFlight, b.InFlight))
+	first := chooseEqual(b, database, best, list, region, turn, now)
+	start := turn % uint64(len(list))
+	order := slices.Concat(list[start:], list[:start])
+	slices.SortStableFunc(order, func(a, b Candidate) int {
+		return cmp.Or(
+			cmp.Compare(a.penalty(region, now), b.penalty(region, now)), preferTrue(a.Host == first, b.Host == first), cmp.Compare(a.InFlight, b.InFlight),
+		)
 	})
-	hosts := make([]string, 0, len(list))
-	for _, c := range list {
+	hosts := make([]string, 0, len(order))
+	for _, c := range order {
 		hosts = append(hosts, c.Host)
 	}
 	return hosts
 }
+
+// chooseEqual returns the host to try first, which is one with the penalty of the best
+// candidate. A turn keeps its host while others enter or leave a backoff: it selects one of
+// all candidates with the role and region of the best, and only if that one is at present
+// not as good another one.
+func chooseEqual(b *even.Balances, database string, best Candidate, list []Candidate, region string, turn uint64, now time.Time) string {
+	var equal []Candidate
+	var similar []string
+	for _, c := range list {
+		if c.penalty(region, now) == best.penalty(region, now) {
+			equal = append(equal, c)
+		}
+		if c.Substitute == best.Substitute && (c.Region == region) == (best.Region == region) {
+			similar = append(similar, c.Host)
+		}
+	}
+	n := uint64(len(similar))
+	preferred := slices.IndexFunc(equal, func(c Candidate) bool { return c.Host == similar[turn%n] })
+	if preferred < 0 {
+		preferred = int(turn / n % uint64(len(equal))) //nolint:gosec // less than the length of a slice
+	}
+	loads := make([]even.Candidate, len(equal))
+	for i, c := range equal {
+		loads[i] = even.Candidate{
+			Name: c.Host, Own: c.InFlight, Others: max(c.Reported-float64(c.InFlight), 0), Age: c.ReportAge, Reported: c.HasReport, Capacity: c.Capacity,
+		}
+	}
+	draw := even.Mix(uint64(now.UnixNano()) ^ even.Mix(turn))                                   //nolint:gosec // only the bits matter
+	return equal[b.Choose(database, loads, uint64(preferred), draw, lightLoad, now).Index].Host //nolint:gosec // an index
+}
+
+// penalty returns a number that orders candidates by what is known of their state, and by
+// their distance.
+func (c Candidate) penalty(region string, now time.Time) int {
+	const draining, backoff, substitute, slow, remote = 16, 8, 4, 2, 1
+	sum := 0
+	if now.Before(c.DrainingUntil) {
+		sum += draining
+	}
+	if now.Before(c.BackoffUntil) || (c.Failing && c.InFlight > 0) {
+		sum += backoff
+	}
+	if c.Substitute {
+		sum += substitute
+	}
+	if c.InFlight > 0 && now.Sub(c.OldestSent) > slowAnswer {
+		sum += slow
+	}
+	if c.Region != region {
+		sum += remote
+	}
+	return sum
+}
+
+// preferTrue compares two conditions, of which a fulfilled one comes first.
+func preferTrue(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -1,6 +1,7 @@
 package relay_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -35,6 +36,58 @@
 	g.Expect(relay.OrderCandidates(list, "north", 0, noon)).To(Equal([]string{"n2", "n1", "s1", "s2"}))
 }
 
+// TestCustomerKeepsItsOwnerAtLightLoad covers a customer with a few requests in flight. It
+// guards against requests that are spread over owners, each of which has to open
+// connections to the members for the customer.
+func TestCustomerKeepsItsOwnerAtLightLoad(t *testing.T) {
+	g := NewWithT(t)
+	list := candidates()
+	for list[0].InFlight = range 3 {
+		list[0].OldestSent = noon.Add(-time.Millisecond)
+		g.Expect(relay.OrderCandidates(list, "north", 0, noon)[0]).To(Equal("n1"))
+	}
+}
+
+// TestSmallOwnerGetsLessWorkInABurst covers owners of 0.134 and of 0.8 cores: a burst of one
+// customer fills them in proportion to their capacity, whichever is preferred.
+func TestSmallOwnerGetsLessWorkInABurst(t *testing.T) {
+	for turn := range uint64(2) {
+		g := NewWithT(t)
+		list := candidates()[:2]
+		list[0].Capacity, list[1].Capacity = 0.134, 0.8
+		for range 40 {
+			first := relay.OrderCandidates(list, "north", turn, noon)[0]
+			for i := range list {
+				if list[i].Host == first {
+					list[i].InFlight++
+					list[i].OldestSent = noon
+				}
+			}
+		}
+		g.Expect(list[0].InFlight).To(BeNumerically("<=", 13))
+	}
+}
+
+// TestBackoffMovesOnlyTheCustomersOfItsOwner guards against a backoff of one owner that makes
+// all customers change theirs.
+func TestBackoffMovesOnlyTheCustomersOfItsOwner(t *testing.T) {
+	g := NewWithT(t)
+	list := []relay.Candidate{{Host: "a"}, {Host: "b"}, {Host: "c"}, {Host: "d"}}
+	moved := map[string]bool{}
+	for turn := range uint64(40) {
+		before := relay.OrderCandidates(list, "", turn, noon)[0]
+		failed := slices.Clone(list)
+		failed[1].BackoffUntil = noon.Add(time.Second)
+		after := relay.OrderCandidates(failed, "", turn, noon)[0]
+		if before != "b" {
+			g.Expect(after).To(Equal(before))
+			continue
+		}
+		moved[after] = true
+	}
+	g.Expect(moved).To(HaveLen(3), "its customers are spread over all others")
+}
+
 // TestUnresponsiveHostIsTriedLast has an owner whose process is suspended: its connections
 // stay open, but no job is answered on them.
 func TestUnresponsiveHostIsTriedLast(t *testing.T) {
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -144,7 +144,7 @@
 func (o *owner) candidate() Candidate {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	c := Candidate{Host: o.host.Name, Region: o.host.Region, BackoffUntil: o.backoffUntil, DrainingUntil: o.drainingUntil, Failing: o.failures > 0, InFlight: len(o.inFlight)}
+	c := Candidate{Host: o.host.Name, Region: o.host.Region, Capacity: o.host.Capacity, BackoffUntil: o.backoffUntil, DrainingUntil: o.drainingUntil, Failing: o.failures > 0, InFlight: len(o.inFlight)}
 	if len(o.inFlight) > 0 {
 		c.OldestSent = slices.MinFunc(o.inFlight, time.Time.Compare)
 	}
