--- a/internal/labpf/identity_test.go
+++ b/internal/labpf/identity_test.go
@@ -2,12 +2,17 @@
 
 import (
 	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	. "github.com/onsi/gomega"
 
+	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/labpf"
 )
 
@@ -106,3 +111,128 @@
 	s.Expect(s.connectedFor("moved")).To(Equal(map[string]int{"zenith": 1}))
 	s.Expect(s.platform.Count("inside")).To(BeZero())
 }
+
+// TestStatementsRunInTheNameOfTheirCustomer guards against a statement that reaches a member on a
+// connection of another customer: many customers share few connections, and some of their
+// requests are relayed.
+func TestStatementsRunInTheNameOfTheirCustomer(t *testing.T) {
+	s, homes, others := newFleet(t)
+	const customers, seed = 12, 1
+	list := make([]labpf.Tenant, customers)
+	for i := range list {
+		list[i] = tenant(fmt.Sprint("tenant-", i), fmt.Sprint("key-", i, "-a"), fmt.Sprint("key-", i, "-b"))
+	}
+	s.putTenants(2, list...)
+	entries := []int{homes[0], homes[1], others[0], others[1]}
+	var running sync.WaitGroup
+	for i := range 3 * customers {
+		random := rand.New(rand.NewPCG(seed, uint64(i)))
+		service, key := private, fmt.Sprint("key-", i%customers, "-", string("ab"[random.IntN(2)]))
+		if random.IntN(4) == 0 {
+			service = labpf.Session
+		}
+		c := s.enterWith(entries[i%len(entries)], service, key)
+		running.Go(func() { c.work(t, random, fmt.Sprintf("of-%s-", list[i%customers].Name)) })
+	}
+	for i := range entries {
+		c, random := s.enterWith(entries[i], labpf.Session, "unknown"), rand.New(rand.NewPCG(seed, uint64(1000+i)))
+		running.Go(func() { c.work(t, random, "of-nobody-") })
+	}
+	running.Wait()
+	for _, customer := range list {
+		names := s.connectedFor("of-" + customer.Name + "-")
+		s.Expect(names).To(HaveLen(1), "the statements of %s ran on connections of %v", customer.Name, names)
+		s.Expect(names[customer.Name]).To(BeNumerically(">", 0))
+	}
+	for name := range s.connectedFor("of-nobody-") {
+		s.Expect(name).To(HavePrefix("front-"))
+	}
+	s.Expect(s.log.with(relayed)).NotTo(BeEmpty())
+}
+
+// work runs statements and transactions whose items have a prefix. Each must be answered; a
+// refusal is tried again.
+func (c *caller) work(t *testing.T, random *rand.Rand, prefix string) {
+	run := func(text string) (code string) {
+		_, code, _, err := c.ask(text)
+		if err != nil || code == "AUTHFAIL" {
+			t.Errorf("%s: got code %q, error %v", text, code, err)
+		}
+		return code
+	}
+	for n := range 15 {
+		item := fmt.Sprint(prefix, n)
+		switch random.IntN(3) {
+		case 0:
+			run("READ " + item)
+		case 1:
+			run("WRITE " + item + " v")
+		default:
+			run("BEGIN")
+			if run("WRITE "+item+" v") == "" && run("READ "+item) == "" {
+				run("COMMIT")
+				continue
+			}
+			run("ROLLBACK")
+		}
+	}
+}
+
+// TestKeysAppearInNoOutput guards against a key in a log line, an error, the status, a metric or a
+// document. Callers present keys before, while and after they are known.
+func TestKeysAppearInNoOutput(t *testing.T) {
+	s := newSite(t, 2)
+	const secret = "k3y-7f"
+	early, err := dialWith(s.proxies[0].Address(), private, secret+"-early")
+	s.Expect(err).To(HaveOccurred())
+	s.Expect(early).To(BeNil())
+	s.putTenants(2, tenant("acme", secret+"-1", secret+"-2"), tenant("zenith", secret+"-2"), labpf.Tenant{Name: "bad name", Keys: []string{secret + "-3"}}, labpf.Tenant{Name: "minus", Keys: []string{secret + "-4"}, Rate: -1})
+	var errors []string
+	for _, service := range []string{private, labpf.Session, "no-such-service"} {
+		for _, key := range []string{"-1", "-2", "-3", "-unknown"} {
+			c, err := dialWith(s.proxies[0].Address(), service, secret+key)
+			if err != nil {
+				errors = append(errors, err.Error())
+				continue
+			}
+			s.comes(c, "WRITE k 1")
+			s.does(c, "BEGIN")
+			s.does(c, "WRITE k 2")
+			t.Cleanup(func() { _ = c.conn.Close() })
+		}
+	}
+	open := s.enterWith(1, private, secret+"-1")
+	s.putTenants(3, tenant("acme", secret+"-2"))
+	s.refuses(open, "READ k")
+	_ = open.conn.Close()
+	time.Sleep(100 * time.Millisecond)
+	for i := range s.proxies {
+		for _, path := range []string{app.PathStatus, app.PathMetrics} {
+			s.Expect(s.operator(i, path)).NotTo(ContainSubstring(secret), path)
+		}
+	}
+	s.Expect(s.log.with("acme")).NotTo(BeEmpty(), "the log names the customer")
+	s.Expect(s.log.with(secret)).To(BeEmpty())
+	s.Expect(errors).NotTo(BeEmpty())
+	s.Expect(strings.Join(errors, " ")).NotTo(ContainSubstring(secret))
+	for _, name := range s.platform.Names("proxies") {
+		s.Expect(name).NotTo(ContainSubstring(secret))
+	}
+	for name := range s.platform.Opened() {
+		s.Expect(name).NotTo(ContainSubstring(secret))
+	}
+}
+
+// operator returns the answer of a proxy to an operator's request.
+func (s *site) operator(proxy int, path string) string {
+	request, err := http.NewRequestWithContext(s.t.Context(), http.MethodGet, "http://"+s.proxies[proxy].OperatorAddress()+path, http.NoBody)
+	s.Expect(err).NotTo(HaveOccurred())
+	request.Header.Set("Authorization", "Bearer "+s.settingsOf(proxy).OperatorSecret)
+	response, err := http.DefaultClient.Do(request)
+	s.Expect(err).NotTo(HaveOccurred())
+	defer func() { _ = response.Body.Close() }()
+	s.Expect(response.StatusCode).To(Equal(http.StatusOK))
+	text, err := io.ReadAll(response.Body)
+	s.Expect(err).NotTo(HaveOccurred())
+	return string(text)
+}
--- a/internal/member/divide_test.go
+++ b/internal/member/divide_test.go
@@ -70,10 +70,11 @@
 func borrow(t *testing.T, pool *member.Pool, customer string) *member.Conn {
 	c, err := pool.Get(t.Context(), member.ReadWrite, customer)
 	if err != nil {
-		t.Fatal(err)
+		t.Error(err)
+		return nil
 	}
 	if got := c.ProtocolConn.(*fakeConn); got.customer != customer || c.Customer() != customer || got.closed.Load() || got.busy.Swap(true) { //nolint:forcetypeassert,errcheck // the test opens no others
-		t.Fatalf("customer %q got a connection of %q, closed %t", customer, got.customer, got.closed.Load())
+		t.Errorf("customer %q got a connection of %q, closed %t", customer, got.customer, got.closed.Load())
 	}
 	return c
 }
