Prefer members with an idle connection of the customer for reads

Cause: reads rotate over equally near members, so each of a customer's connections is used rarely and is evicted before the next use. Opening one costs a member more than a statement.

Change: among equally near members those with an idle connection of the customer come first. Callers without a customer take turns as before.

--- a/internal/chain/customer.go
+++ b/internal/chain/customer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"poplarrouter.example/poplarrouter/internal/view"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -59,3 +60,13 @@
 		return next(ctx, r)
 	}
 }
+
+// connected returns the function that reports whether a member has an idle connection of the
+// caller's customer, or nil if the caller has none. Opening a connection costs a member more
+// than a statement does.
+func (f *filters) connected(r *Request) func(m view.Member) bool {
+	if r.Caller.Customer == "" {
+		return nil
+	}
+	return func(m view.Member) bool { return f.Controllers.Pool(r.Work.Database, m).HasIdle(r.Caller.Customer) }
+}
--- a/internal/chain/export_test.go
+++ b/internal/chain/export_test.go
@@ -14,8 +14,9 @@
 	return (&filters{Options: o}).run(ctx, r)
 }
 
-// CannotServe and SkippedMembers are exported for tests.
+// CannotServe, SkippedMembers and RelayTurn are exported for tests.
 var (
 	CannotServe    = cannotServe
 	SkippedMembers = skippedMembers
+	RelayTurn      = relayTurn
 )
--- a/internal/chain/find.go
+++ b/internal/chain/find.go
@@ -30,6 +30,9 @@
 	Arrived time.Time
 	// Rotation distributes reads over members that are equally suitable.
 	Rotation uint64
+	// Connected reports whether a connection that the read can use is idle. Such a member comes
+	// before equally distant ones. Nil means that it does not matter.
+	Connected func(m view.Member) bool
 }
 
 // Candidates are the members that may serve a read.
@@ -136,16 +139,33 @@
 }
 
 // sort orders members by distance: its own region first, replicas before the primary, then
-// its own data centre. The read's rotation distributes reads over equally distant members.
+// its own data centre. Among equally distant members, those with an idle connection for the
+// read come first, and its rotation distributes reads over the others.
 func (f Finder) sort(v view.View, w ReadRequirement, list []view.Member) []view.Member {
 	if n := uint64(len(list)); n > 0 {
 		turn := w.Rotation % n
 		list = slices.Concat(list[turn:], list[:turn])
 	}
+	if w.Connected != nil {
+		list = connectedFirst(list, w.Connected)
+	}
 	slices.SortStableFunc(list, func(a, b view.Member) int { return f.distance(v, a) - f.distance(v, b) })
 	return list
 }
 
+// connectedFirst returns the members for which connected returns true, followed by the others.
+func connectedFirst(list []view.Member, connected func(m view.Member) bool) []view.Member {
+	first, others := make([]view.Member, 0, len(list)), make([]view.Member, 0, len(list))
+	for _, m := range list {
+		if connected(m) {
+			first = append(first, m)
+			continue
+		}
+		others = append(others, m)
+	}
+	return slices.Concat(first, others)
+}
+
 func (f Finder) distance(v view.View, m view.Member) int {
 	const primaryCost, regionCost = 2, 4
 	cost := 0
--- a/internal/chain/route.go
+++ b/internal/chain/route.go
@@ -70,7 +70,7 @@
 		return f.routeWrite(ctx, r, next)
 	}
 	found, err := f.finder().Find(ctx, r.controller, ReadRequirement{
-		Database: r.Work.Database, Floor: r.Floor, HasToken: r.HasToken, StalenessBound: r.Work.StalenessBound, Arrived: r.Arrived, Rotation: r.Caller.ID,
+		Database: r.Work.Database, Floor: r.Floor, HasToken: r.HasToken, StalenessBound: r.Work.StalenessBound, Arrived: r.Arrived, Rotation: r.Caller.ID, Connected: f.connected(r),
 	})
 	if err != nil {
 		return err
--- a/internal/member/divide.go
+++ b/internal/member/divide.go
@@ -25,6 +25,13 @@
 	return c, found
 }
 
+// HasIdle reports whether a connection of a customer is idle.
+func (p *Pool) HasIdle(customer string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return slices.ContainsFunc(p.idle, func(c *Conn) bool { return c.customer == customer })
+}
+
 // popAnyIdle removes and returns an idle connection for a state query: preferably one of the
 // proxy's own, or else the least recently used one, which its customer is least likely to need.
 func (p *Pool) popAnyIdle(mode Mode) (*Conn, bool) {
