--- a/internal/chain/find.go
+++ b/internal/chain/find.go
@@ -31,6 +31,9 @@
 	Arrived time.Time
 	// Rotation distributes reads over members that are equally suitable.
 	Rotation uint64
+	// Connected reports whether a connection that the read can use is idle. Such a member comes
+	// before equally distant ones. Nil means that it does not matter.
+	Connected func(m view.Member) bool
 }
 
 // Candidates are the members that may serve a read.
@@ -143,7 +146,8 @@
 
 // sort orders members by distance: its own region first, replicas before the primary, then
 // its own data centre. Among members at the same distance the read's rotation decides, for
-// the nearest also their load. It returns the rule that decided among the nearest.
+// the nearest also their load. Unless load decides, the next member in turn with an idle
+// connection for the read comes first. It returns the rule that decided among the nearest.
 func (f Finder) sort(v view.View, w ReadRequirement, list []view.Member) ([]view.Member, even.Reason) {
 	list = slices.Clone(list)
 	slices.SortStableFunc(list, func(a, b view.Member) int { return f.distance(v, a) - f.distance(v, b) })
@@ -157,12 +161,29 @@
 		if from == 0 && len(equal) > 1 && f.Choose != nil {
 			first, reason = f.Choose(w, equal)
 		}
+		if reason == even.Turn || from > 0 {
+			first = nextConnected(equal, first, w.Connected)
+		}
 		copy(equal, slices.Concat(equal[first:], equal[:first]))
 		from += len(equal)
 	}
 	return list, reason
 }
 
+// nextConnected returns the index of the first member at or after first, in rotation, for which
+// connected returns true, or first if there is none or connected is nil.
+func nextConnected(list []view.Member, first int, connected func(m view.Member) bool) int {
+	if connected == nil {
+		return first
+	}
+	for i := range list {
+		if index := (first + i) % len(list); connected(list[index]) {
+			return index
+		}
+	}
+	return first
+}
+
 func (f Finder) distance(v view.View, m view.Member) int {
 	const primaryCost, regionCost = 2, 4
 	cost := 0
