Prove that the list of keys is recent before a key is accepted

Cause: a removed key keeps working on a host that does not learn of its removal, because nothing proves that the host's sheet is the store's newest. Change: the package recent decides from the times of sending of store reads and of queries to peers whether the list of keys is recent, and what to do to keep it so; ctrl.Recency drives it; the store's clients confirm a sheet without waiting, and report when an answer was asked for. With StrictRevocation the chain refuses keyed statements, and GET /ready answers 503, while the list is not recent. Metrics, status and the events 611 and 612 show the proof. An answer counts only for the sheet in force with the same serial and keys.

--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -118,6 +118,11 @@
 	t.row("SHEET", "LOADED BY", "LOADED AT")
 	t.row(s.Sheet.Serial, s.Sheet.LoadedBy, s.Sheet.LoadedAt.Format(time.RFC3339))
 	t.row()
+	if p := s.KeyProof; p != nil {
+		t.row("KEYS ACCEPTED", "PROOF AGE MS", "PROOF FROM", "READS THE STORE")
+		t.row(p.Recent, p.AgeMs, p.Source, p.Reader)
+		t.row()
+	}
 	t.row("DATABASE", "MEMBER", "REGION", "ROLE", "TERM", "FENCE", "RECEIVED", "APPLIED", "AGE MS", "SILENT")
 	for _, d := range s.Databases {
 		for _, m := range d.Members {
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -59,7 +59,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(
-			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newProtocolParts, newDocuments, newControllers, newLeaseManager, newHandler, newDrainer, newFront, newOperator,
+			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newProtocolParts, newDocuments, newKeyRecency, newControllers, newLeaseManager, newHandler, newDrainer, newFront, newOperator,
 		),
 		fx.Populate(&p.front, &p.log, &p.drainer, &p.mesh, &p.operator),
 		fx.Invoke(startMesh),
@@ -224,7 +224,7 @@
 	return quota.New(size, quota.MinimumShares(slots.DefaultMinimumShares().Share))
 }
 
-func newHandler(s config.Settings, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer) chain.Handler {
+func newHandler(s config.Settings, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer, k keyRecency) chain.Handler {
 	return chain.New(chain.Options{
 		Controllers:     controllers,
 		Documents:       documents,
@@ -242,6 +242,7 @@
 		Draining:        d.draining,
 		Permits:         p.permits(leases),
 		Relay:           p.relay,
+		Keys:            k.keys(),
 	})
 }
 
@@ -285,8 +286,8 @@
 }
 
 // startMesh starts to receive frames from peers.
-func startMesh(lc fx.Lifecycle, mesh *peer.Connections, documents *ctrl.Documents, controllers *ctrl.Controllers, leases *gate.LeaseManager, f *front.Front, p *protocolParts) {
-	onStop(lc, mesh.Start(&handler{Documents: documents, Controllers: controllers, LeaseManager: leases, connectionDemand: p.demand, front: f}))
+func startMesh(lc fx.Lifecycle, mesh *peer.Connections, documents *ctrl.Documents, controllers *ctrl.Controllers, leases *gate.LeaseManager, f *front.Front, p *protocolParts, k keyRecency) {
+	onStop(lc, mesh.Start(&handler{keyRecency: k, Documents: documents, Controllers: controllers, LeaseManager: leases, connectionDemand: p.demand, front: f}))
 	onStop(lc, f.CloseRelays)
 }
 
@@ -296,7 +297,7 @@
 	*ctrl.Controllers
 	*gate.LeaseManager
 	connectionDemand
-	peer.NoProofs
+	keyRecency
 	peer.NoCaps
 	front *front.Front
 }
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -34,7 +34,7 @@
 
 func newObjects(lc fx.Lifecycle, s config.Settings, log *event.Log) store.Store {
 	client, cleanUp := objst.New(objst.Options{
-		Address: s.StoreAddress, Wait: s.Timing.StoreWait(), Regions: s.Regions, Dial: plainDial(dialTimeout),
+		Address: s.StoreAddress, Wait: s.Timing.StoreWait(), Regions: s.Regions, Dial: plainDial(dialTimeout), Clock: bootTime,
 		OnIgnored: func(kind, name string, cause error) {
 			log.Emit(event.EntryIgnored, event.Fields{"Kind": kind, "Entry": name, "Cause": cause.Error()})
 		},
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -45,11 +45,12 @@
 	parts       *protocolParts
 	mesh        *peer.Connections
 	drainer     *drainer
+	recency     keyRecency
 	address     string
 }
 
-func newOperator(lc fx.Lifecycle, s config.Settings, documents *ctrl.Documents, controllers *ctrl.Controllers, f *front.Front, p *protocolParts, mesh *peer.Connections, registry *prometheus.Registry, d *drainer) (*operator, error) {
-	o := &operator{settings: s, documents: documents, controllers: controllers, front: f, parts: p, mesh: mesh, drainer: d}
+func newOperator(lc fx.Lifecycle, s config.Settings, documents *ctrl.Documents, controllers *ctrl.Controllers, f *front.Front, p *protocolParts, mesh *peer.Connections, registry *prometheus.Registry, d *drainer, k keyRecency) (*operator, error) {
+	o := &operator{settings: s, documents: documents, controllers: controllers, front: f, parts: p, mesh: mesh, drainer: d, recency: k}
 	listener, err := net.Listen("tcp", s.OperatorAddress)
 	if err != nil {
 		return nil, err
@@ -91,7 +92,7 @@
 // ready reports to the load balancer whether this proxy accepts callers.
 func (o *operator) ready(w http.ResponseWriter, _ *http.Request) {
 	documents := o.documents.Book()
-	if o.front.DrainStarted() || documents.Serial(book.Sheet) == 0 || documents.Serial(book.Databases) == 0 {
+	if o.front.DrainStarted() || documents.Serial(book.Sheet) == 0 || documents.Serial(book.Databases) == 0 || o.recency.missing() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -111,6 +112,19 @@
 	Databases []DatabaseStatus
 	Pools     []ctrl.PoolCount
 	Queues    []QueueStatus
+	// KeyProof is the proof that the list of keys is recent, if one is required.
+	KeyProof *KeyProofStatus `json:",omitempty"`
+}
+
+// KeyProofStatus describes the proof that the list of keys is recent.
+type KeyProofStatus struct {
+	// Recent is set if keyed requests are accepted. AgeMs is the age of the proof, or -1 without
+	// one, and Source the host that gave it, or the store.
+	Recent bool
+	AgeMs  int64
+	Source string `json:",omitempty"`
+	// Reader is set if this host is one of those that read the store for their region.
+	Reader bool
 }
 
 // RankCapacity is the number of additional callers of one rank that could connect.
@@ -166,6 +180,7 @@
 		Serials:  documents.Serials(),
 		Peers:    o.mesh.ConnectedPeers(),
 		Pools:    o.controllers.Pools(),
+		KeyProof: o.recency.status(),
 	}
 	for r := sheet.Rank(1); r <= sheet.MaxRank; r++ {
 		s.Room = append(s.Room, RankCapacity{Rank: r, Room: o.front.SpareCapacity(r)})
--- a/internal/chain/customer.go
+++ b/internal/chain/customer.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 
+	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -29,10 +30,11 @@
 		if r.Relayed || !r.Work.KeyRequired {
 			return next(ctx, r)
 		}
-		if f.Keys != nil && !f.Keys.Recent() {
+		keys, recent := f.keys()
+		if !recent && keys.HasCustomers() {
 			return fault.New(fault.StaleKeys, "authenticate", "this proxy cannot prove that its list of keys is recent")
 		}
-		c, found := f.Documents.Book().Sheet().CustomerOfKey(r.Caller.KeyDigest)
+		c, found := keys.CustomerOfKey(r.Caller.KeyDigest)
 		if !found || c.Name != r.Caller.Customer {
 			return fault.New(fault.UnknownKey, "authenticate", "the caller's key does not belong to customer %q", r.Caller.Customer)
 		}
@@ -40,6 +42,20 @@
 	}
 }
 
+// keys returns the sheet in force, and whether its keys can be accepted. Of a sheet without
+// customers, which accepts no key, the recency is not known. A proof that was given before a
+// sheet came into force may not hold for that sheet, so the two are read until they belong
+// together.
+func (f *filters) keys() (keys sheet.Sheet, recent bool) {
+	for {
+		documents := f.Documents.Book()
+		recent = f.Keys == nil || f.Keys.Recent()
+		if f.Documents.Book().Serial(book.Sheet) == documents.Serial(book.Sheet) {
+			return documents.Sheet(), recent
+		}
+	}
+}
+
 // limitUsage refuses operations beyond the usage cap of their customer. A transaction counts
 // as one operation.
 func (f *filters) limitUsage(next Handler) Handler {
--- a/internal/ctrl/documents.go
+++ b/internal/ctrl/documents.go
@@ -57,6 +57,8 @@
 	docs    *duty.Ring[receivedDoc]
 	// storeAnswered is the time of the last answer of the store that is known.
 	storeAnswered atomic.Pointer[time.Time]
+	// sheetRead is the last answer of the store to the watch of the sheet.
+	sheetRead *duty.Cell[SheetRead]
 }
 
 // receivedDoc is a document with its source.
@@ -82,7 +84,7 @@
 // NewDocuments starts the background tasks and returns the documents with their clean-up
 // function.
 func NewDocuments(options DocumentsOptions) (*Documents, func()) {
-	d := &Documents{options: options, current: duty.NewCell(book.DocumentSet{}), docs: duty.NewRing[receivedDoc](documentQueue)}
+	d := &Documents{options: options, current: duty.NewCell(book.DocumentSet{}), docs: duty.NewRing[receivedDoc](documentQueue), sheetRead: duty.NewCell(SheetRead{})}
 	stops := []func(){duty.Run(d.run)}
 	for _, kind := range book.Kinds() {
 		stops = append(stops, duty.Run(func(ctx context.Context) error { return d.watch(ctx, kind) }))
@@ -184,6 +186,7 @@
 			retry = d.options.Retry
 			if kind == book.Sheet {
 				d.recordStoreAnswer(time.Now())
+				d.recordSheetRead(object, unchanged)
 			}
 			if err == nil {
 				seen = object.Version
@@ -273,9 +276,12 @@
 			hosts = append(hosts, h.Name)
 		}
 	}
-	return pick.Index("watch/"+string(kind), d.options.Host, hosts) < d.options.WatchersPerRegion
+	return pick.Index(watchKey(kind), d.options.Host, hosts) < d.options.WatchersPerRegion
 }
 
+// watchKey is the key of the order in which the hosts of a region watch a document.
+func watchKey(kind book.Kind) string { return "watch/" + string(kind) }
+
 const (
 	// checkPeriod is the interval at which a proxy that receives documents from peers
 	// reads the store itself, in case all watchers of its region have failed at once.
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -49,6 +49,8 @@
 	SheetRefused       Event = 602
 	DatabasesChanged   Event = 603
 	EntryIgnored       Event = 604
+	KeyProofExpired    Event = 611
+	KeyProofRenewed    Event = 612
 	PeerJoined         Event = 701
 	PeerLeft           Event = 702
 	PeerDenied         Event = 703
@@ -102,6 +104,8 @@
 	SheetRefused:       {"sheet-refused", logrus.ErrorLevel},
 	DatabasesChanged:   {"databases-changed", logrus.InfoLevel},
 	EntryIgnored:       {"entry-ignored", logrus.WarnLevel},
+	KeyProofExpired:    {"key-proof-expired", logrus.WarnLevel},
+	KeyProofRenewed:    {"key-proof-renewed", logrus.InfoLevel},
 	PeerJoined:         {"peer-joined", logrus.InfoLevel},
 	PeerLeft:           {"peer-left", logrus.WarnLevel},
 	PeerDenied:         {"peer-denied", logrus.WarnLevel},
--- a/internal/labkv/labkv.go
+++ b/internal/labkv/labkv.go
@@ -25,7 +25,10 @@
 	mute    bool
 }
 
-var _ store.Store = (*Memory)(nil)
+var (
+	_ store.Store     = (*Memory)(nil)
+	_ store.Confirmer = (*Memory)(nil)
+)
 
 // New returns an empty store.
 func New() *Memory {
@@ -106,6 +109,15 @@
 	}
 }
 
+// Confirm implements store.Confirmer.
+func (m *Memory) Confirm(_ context.Context, key string, seen store.Version) (store.Object, error) {
+	current, _, err := m.peek(key)
+	if err == nil && current.Version == seen {
+		err = &store.UnchangedError{Key: key}
+	}
+	return current, err
+}
+
 func (m *Memory) peek(key string) (store.Object, <-chan struct{}, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -196,11 +196,14 @@
 }
 
 // ProofAnswer answers a ProofQuery: AgeMs milliseconds before the answer was sent, the store's
-// newest sheet had the given serial.
+// newest sheet had the given serial. The age is rounded up.
 type ProofAnswer struct {
 	ID     uint64
 	Serial uint64
-	AgeMs  uint32
+	// Keys is the fingerprint of the sheet's keys. Sheets with the same serial may differ in
+	// it if the store was restored from an older copy.
+	Keys  uint64
+	AgeMs uint32
 }
 
 // CapAsk asks the coordinator of a partition for tokens of its customers. It also delegates the
--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -33,7 +33,10 @@
 	client  *http.Client
 }
 
-var _ Store = (*HTTP)(nil)
+var (
+	_ Store     = (*HTTP)(nil)
+	_ Confirmer = (*HTTP)(nil)
+)
 
 // New returns a client of the store at address (IP:port), whose watches last at most
 // wait, and its clean-up function.
@@ -56,6 +59,14 @@
 	return h.read(ctx, "watch", key, query, h.wait+answerTimeout)
 }
 
+// Confirm implements Confirmer.
+func (h *HTTP) Confirm(ctx context.Context, key string, seen Version) (Object, error) {
+	query := url.Values{}
+	query.Set(ParamSeen, string(seen))
+	query.Set(ParamWait, "0")
+	return h.read(ctx, "confirm", key, query, answerTimeout)
+}
+
 // Put implements Store.
 func (h *HTTP) Put(ctx context.Context, key string, value []byte, previous Version) (Version, error) {
 	if len(value) > MaxValue {
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"fmt"
+	"time"
 )
 
 // Version identifies one state of an object. The empty Version stands for an object
@@ -18,6 +19,10 @@
 type Object struct {
 	Version Version
 	Value   []byte
+	// AskedAt is the reading of the client's clock before it sent the request of which the
+	// object is the answer, or 0 if it is not known. No later version had been acknowledged
+	// by then.
+	AskedAt time.Duration
 }
 
 // Store is the interface of the platform's store to the proxy.
@@ -34,6 +39,15 @@
 	Watch(ctx context.Context, key string, seen Version) (Object, error)
 }
 
+// Confirmer is a store that can be asked whether an object is still the newest.
+type Confirmer interface {
+	// Confirm returns the object if its version differs from seen, or *UnchangedError. The
+	// answer covers every write that was acknowledged before the call. Its versions are not
+	// comparable with those of Watch. It may be called while a Watch of the key waits, which
+	// still reports every change.
+	Confirm(ctx context.Context, key string, seen Version) (Object, error)
+}
+
 // MissingError reports that no object exists under a key.
 type MissingError struct{ Key string }
 
@@ -52,7 +66,12 @@
 }
 
 // UnchangedError reports that a watch timed out without a change.
-type UnchangedError struct{ Key string }
+type UnchangedError struct {
+	Key string
+	// AskedAt is that of an Object with the value that was last returned, or 0 if it is not
+	// known.
+	AskedAt time.Duration
+}
 
 // Error implements error.
 func (e *UnchangedError) Error() string { return fmt.Sprintf("watch %s: no change", e.Key) }
