--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -60,7 +60,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(
-			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newProtocolParts, newDocuments, newControllers, newLeaseManager, newLimiter, newHandler, newDrainer, newFront, newOperator,
+			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newProtocolParts, newDocuments, newKeyRecency, newControllers, newLeaseManager, newLimiter, newHandler, newDrainer, newFront, newOperator,
 		),
 		fx.Populate(&p.front, &p.log, &p.drainer, &p.mesh, &p.operator),
 		fx.Invoke(startMesh),
@@ -225,7 +225,7 @@
 	return quota.New(size, quota.MinimumShares(slots.DefaultMinimumShares().Share))
 }
 
-func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer, limiter *limit.Limiter) chain.Handler {
+func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer, k keyRecency, limiter *limit.Limiter) chain.Handler {
 	return chain.New(chain.Options{
 		Controllers:     controllers,
 		Documents:       documents,
@@ -245,6 +245,7 @@
 		Balances:        newMemberBalances(registry, p),
 		Relay:           p.relay,
 		Caps:            limiter,
+		Keys:            k.keys(),
 	})
 }
 
@@ -288,8 +289,8 @@
 }
 
 // startMesh starts to receive frames from peers.
-func startMesh(lc fx.Lifecycle, mesh *peer.Connections, documents *ctrl.Documents, controllers *ctrl.Controllers, leases *gate.LeaseManager, f *front.Front, p *protocolParts, limiter *limit.Limiter) {
-	onStop(lc, mesh.Start(&handler{Documents: documents, Controllers: controllers, LeaseManager: leases, connectionDemand: p.demand, caps: limiter, front: f}))
+func startMesh(lc fx.Lifecycle, mesh *peer.Connections, documents *ctrl.Documents, controllers *ctrl.Controllers, leases *gate.LeaseManager, f *front.Front, p *protocolParts, k keyRecency, limiter *limit.Limiter) {
+	onStop(lc, mesh.Start(&handler{keyRecency: k, Documents: documents, Controllers: controllers, LeaseManager: leases, connectionDemand: p.demand, caps: limiter, front: f}))
 	onStop(lc, f.CloseRelays)
 }
 
@@ -299,7 +300,7 @@
 	*ctrl.Controllers
 	*gate.LeaseManager
 	connectionDemand
-	peer.NoProofs
+	keyRecency
 	caps
 	front *front.Front
 }
--- a/internal/chain/affinity_test.go
+++ b/internal/chain/affinity_test.go
@@ -1,7 +1,6 @@
 package chain_test
 
 import (
-	"context"
 	"testing"
 	"time"
 
@@ -12,13 +11,6 @@
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
-// fixedView is a database whose view does not change.
-type fixedView struct{ view.View }
-
-func (f fixedView) Await(_ context.Context, ready func(view.View) bool) (view.View, bool) {
-	return f.View, ready(f.View)
-}
-
 // TestReadPrefersConnectedMember guards against opening a connection for a customer while another
 // member that is as near has an idle one, and against a farther member that is preferred for it.
 func TestReadPrefersConnectedMember(t *testing.T) {
