Put members with an idle connection first unless load decides

Change: among the nearest members the turn or the load decides; unless load decides, members with an idle connection for the customer come first.

--- a/internal/chain/find.go
+++ b/internal/chain/find.go
@@ -146,8 +146,8 @@
 
 // sort orders members by distance: its own region first, replicas before the primary, then
 // its own data centre. Among members at the same distance the read's rotation decides, for
-// the nearest also their load. Unless load decides, the next member in turn with an idle
-// connection for the read comes first. It returns the rule that decided among the nearest.
+// the nearest also their load. Unless load decides, those with an idle connection for the
+// read come first. It returns the rule that decided among the nearest.
 func (f Finder) sort(v view.View, w ReadRequirement, list []view.Member) ([]view.Member, even.Reason) {
 	list = slices.Clone(list)
 	slices.SortStableFunc(list, func(a, b view.Member) int { return f.distance(v, a) - f.distance(v, b) })
@@ -161,27 +161,31 @@
 		if from == 0 && len(equal) > 1 && f.Choose != nil {
 			first, reason = f.Choose(w, equal)
 		}
+		rotated := slices.Concat(equal[first:], equal[:first])
 		if reason == even.Turn || from > 0 {
-			first = nextConnected(equal, first, w.Connected)
+			rotated = connectedFirst(rotated, w.Connected)
 		}
-		copy(equal, slices.Concat(equal[first:], equal[:first]))
+		copy(equal, rotated)
 		from += len(equal)
 	}
 	return list, reason
 }
 
-// nextConnected returns the index of the first member at or after first, in rotation, for which
-// connected returns true, or first if there is none or connected is nil.
-func nextConnected(list []view.Member, first int, connected func(m view.Member) bool) int {
+// connectedFirst returns the members for which connected returns true, followed by the others.
+// If connected is nil, it returns the list as it is.
+func connectedFirst(list []view.Member, connected func(m view.Member) bool) []view.Member {
 	if connected == nil {
-		return first
+		return list
 	}
-	for i := range list {
-		if index := (first + i) % len(list); connected(list[index]) {
-			return index
+	first, others := make([]view.Member, 0, len(list)), make([]view.Member, 0, len(list))
+	for _, m := range list {
+		if connected(m) {
+			first = append(first, m)
+			continue
 		}
+		others = append(others, m)
 	}
-	return first
+	return slices.Concat(first, others)
 }
 
 func (f Finder) distance(v view.View, m view.Member) int {
