--- a/internal/labpf/member.go
+++ b/internal/labpf/member.go
@@ -77,6 +77,10 @@
 	writes []entry
 }
 
+// maxLine is the size in bytes of the longest line that a member reads: a statement of the
+// longest line that a caller may send, with a position before it.
+const maxLine = 1<<20 + 1<<10
+
 func (m *Member) serve(conn net.Conn) {
 	defer func() {
 		_ = conn.Close()
@@ -87,6 +91,7 @@
 	s := &session{Member: m, conn: conn}
 	s.reset()
 	lines := bufio.NewScanner(conn)
+	lines.Buffer(nil, maxLine)
 	for lines.Scan() {
 		word, rest, _ := strings.Cut(lines.Text(), " ")
 		switch word {
