Bound the memory and the sessions of a proxy by a budget

Cause: nothing accounted for the data of callers, so that memory grew with the number of callers that send or read slowly, or send large messages.

Change: internal/budget divides Limits.MemoryMB among messages, large messages, answers that are received and sent, and the state of sessions. The first 4 KB of each connection are free, so that an ordinary request takes no lock. A message beyond that waits for room before more of it is read; while others wait, the holder that has been slow for longest is evicted (event 207), and after two seconds the message is refused (PN003, BUSY). Answers have a write deadline. State beyond the budget is refused. Buffers double with the data that arrives (line reader, a reader of PostgreSQL messages in place of that of pgproto3, peer values), long lines are written in chunks, and idle connections keep small buffers only. Connections to members that hold much state are closed after use. Sessions are limited by Limits.Descriptors; log-ins that take longer than a second give way to new callers.

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -14,6 +14,7 @@
 	"go.uber.org/fx"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
@@ -59,7 +60,7 @@
 		fx.NopLogger,
 		fx.Supply(settings, fx.Annotate(w, fx.As(new(io.Writer)))),
 		fx.Provide(
-			newLog, newRegistry, newGuard, newMeter, newStore, newMesh, newProtocolParts, newDocuments, newControllers, newLeaseManager, newHandler, newDrainer, newFront, newOperator,
+			newLog, newRegistry, newGuard, newMemory, newMeter, newStore, newMesh, newProtocolParts, newDocuments, newControllers, newLeaseManager, newHandler, newDrainer, newFront, newOperator,
 		),
 		fx.Populate(&p.front, &p.log, &p.drainer, &p.mesh, &p.operator),
 		fx.Invoke(startMesh),
@@ -259,13 +260,15 @@
 
 func (d *drainer) draining() bool { return d.front != nil && d.front.Draining() }
 
-func newFront(lc fx.Lifecycle, s config.Settings, h chain.Handler, documents *ctrl.Documents, log *event.Log, g *guard.Guard, registry *prometheus.Registry, mesh *peer.Connections, d *drainer, p *protocolParts) (*front.Front, error) {
+func newFront(lc fx.Lifecycle, s config.Settings, h chain.Handler, documents *ctrl.Documents, log *event.Log, g *guard.Guard, registry *prometheus.Registry, mesh *peer.Connections, d *drainer, p *protocolParts, memory *budget.Budget) (*front.Front, error) {
 	f, cleanUp, err := front.New(front.Options{
 		Address:                 s.CallerAddress,
 		Protocol:                p.protocol,
 		RelayProtocol:           p.relayed,
-		MaxConnections:          s.Limits.CallerConnections,
-		CallerQuota:             newQuota(s.Limits.CallerConnections),
+		MaxConnections:          callerConnections(s.Limits),
+		MaxSessions:             maxSessions(s.Limits),
+		Memory:                  memory,
+		CallerQuota:             newQuota(callerConnections(s.Limits)),
 		RequestBytes:            s.Limits.RequestBytes,
 		Linger:                  s.Timing.LingerMs.Duration(),
 		DrainTransactionTimeout: s.Timing.OpenMs.Duration(),
--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -8,6 +8,7 @@
 	"go.uber.org/fx"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
@@ -96,7 +97,7 @@
 
 // newLineParts returns the parts for members that use the line protocol of typed
 // statements.
-func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) (*protocolParts, error) {
+func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget) (*protocolParts, error) {
 	tokens, err := ctrl.NewTokens(mesh.Address())
 	if err != nil {
 		return nil, err
@@ -108,7 +109,7 @@
 	shares := share.New(share.Options{
 		Host: s.Host, Region: s.Region, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
-	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts})
+	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts, Memory: memory})
 	onStop(lc, closeRelays)
 	p := &protocolParts{
 		protocol:        flow.Protocol{NewCaller: caller.New},
@@ -149,7 +150,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return flow.NewMemberConn(conn), nil
+				return flow.NewMemberConn(memb.WithBudget(conn, memory)), nil
 			},
 		})
 	}
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -7,6 +7,7 @@
 	"go.uber.org/fx"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
@@ -104,9 +105,9 @@
 }
 
 // newProtocolParts returns the parts for the protocol in the settings.
-func newProtocolParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) (*protocolParts, error) {
+func newProtocolParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget) (*protocolParts, error) {
 	if s.Protocol == config.Lines {
-		return newLineParts(lc, s, st, log, mesh, bytes)
+		return newLineParts(lc, s, st, log, mesh, bytes, memory)
 	}
 	return newPostgresParts(s, bytes), nil
 }
--- a/internal/event/list.go
+++ b/internal/event/list.go
@@ -23,6 +23,7 @@
 	CallerClosed       Event = 203
 	CancelSent         Event = 204
 	TransactionExpired Event = 205
+	CallerEvicted      Event = 207
 	ReadRouted         Event = 301
 	WriteRouted        Event = 302
 	RequestRejected    Event = 303
@@ -76,6 +77,7 @@
 	CallerClosed:       {"caller-closed", logrus.InfoLevel},
 	CancelSent:         {"cancel-sent", logrus.InfoLevel},
 	TransactionExpired: {"transaction-expired", logrus.InfoLevel},
+	CallerEvicted:      {"caller-evicted", logrus.WarnLevel},
 	ReadRouted:         {"read-routed", logrus.InfoLevel},
 	WriteRouted:        {"write-routed", logrus.InfoLevel},
 	RequestRejected:    {"work-refused", logrus.WarnLevel},
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -147,6 +147,9 @@
 	Accept() error
 	// Deny reports to the caller that it is not admitted, and why.
 	Deny(r Refusal, text string) error
+	// OnGrow sets a function that is called before the buffer of a message grows, with its new
+	// size in bytes. It may wait. Its error ends the message.
+	OnGrow(reserve func(arrived int) error)
 	// Await waits until the first byte of the next query arrives.
 	Await() error
 	// Next reads the next query. It returns io.EOF when the caller ends the
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -169,6 +169,11 @@
 	return replies, nil
 }
 
+// maxSetupBytes is the size of the session state on a connection to a member above which the
+// connection is closed after use. It is enough for hundreds of prepared statements; callers that
+// prepare without end would otherwise fill the memory through the idle connections.
+const maxSetupBytes = 128 << 10
+
 // Run implements chain.Exchange.
 func (x *Exchange) Run(l member.ProtocolConn, o chain.RunOptions) (chain.Answer, error) {
 	conn := l.(*MemberConn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
@@ -195,7 +200,7 @@
 		return x.rejected(conn, main, last.Phase)
 	}
 	x.reply, x.reply.Phase, x.session.Phase = main, last.Phase, last.Phase
-	answer := chain.Answer{Idle: last.Phase == stmt.Idle, Whole: true, MemberPosition: last.Position}
+	answer := chain.Answer{Idle: last.Phase == stmt.Idle, Whole: true, MemberPosition: last.Position, Dirty: conn.setup.Bytes() > maxSetupBytes}
 	if main.Refusal == Accepted {
 		answer.UnderLease = o.ProveLeadership || (opens && o.Write)
 		x.addMemberState(&answer, o, last.Position)
--- a/internal/flow/serve.go
+++ b/internal/flow/serve.go
@@ -35,16 +35,19 @@
 // Serve implements front.Protocol.
 func (p Protocol) Serve(ctx context.Context, base *front.Session) error {
 	s := &session{Session: base, caller: p.NewCaller(base.Conn)}
+	s.caller.OnGrow(s.reserve)
 	if err := s.start(); err != nil {
 		s.LogDenied(err)
 		return err
 	}
 	s.LogAccepted("")
 	for {
+		s.Memory.Done()
 		if err := s.await(); err != nil {
 			return err
 		}
 		q, err := s.caller.Next()
+		s.Memory.Complete()
 		if err != nil {
 			return s.answerInvalid(err)
 		}
@@ -123,9 +126,12 @@
 
 // answerInvalid answers a message that could not be decoded. The session ends afterwards.
 func (s *session) answerInvalid(err error) error {
+	if s.Memory.Evicted() {
+		err = fault.Wrap(err, fault.Overloaded, "read message", "the message took too long while the memory for messages was used up")
+	}
 	var known *fault.Error
 	if errors.As(err, &known) {
-		return errors.CombineErrors(err, s.caller.Answer(Reply{Refusal: refusalOf(known), Text: known.Message(), Phase: s.state.Phase}))
+		return errors.CombineErrors(err, s.reply(Reply{Refusal: refusalOf(known), Text: known.Message(), Phase: s.state.Phase}))
 	}
 	return err
 }
@@ -134,26 +140,29 @@
 func (s *session) answer(ctx context.Context, q Query) error {
 	if !s.BeginRequest() {
 		err := fault.New(fault.Leaving, "read request", "this proxy is draining")
-		return errors.CombineErrors(err, s.caller.Answer(Reply{Refusal: refusalOf(err), Text: err.Message(), Phase: s.state.Phase}))
+		return errors.CombineErrors(err, s.reply(Reply{Refusal: refusalOf(err), Text: err.Message(), Phase: s.state.Phase}))
 	}
 	defer s.EndRequest()
 	if s.expired && q.Statement.Kind != stmt.Commit && q.Statement.Kind != stmt.Rollback {
 		s.expired = false
-		return s.caller.Answer(Reply{Refusal: Aborted, Text: "the transaction was idle for too long and was rolled back", Phase: stmt.Failed})
+		return s.reply(Reply{Refusal: Aborted, Text: "the transaction was idle for too long and was rolled back", Phase: stmt.Failed})
 	}
 	s.expired = false
 	if reply, invalid := s.checkOrder(q.Statement); invalid {
-		return s.caller.Answer(reply)
+		return s.reply(reply)
 	}
 	if s.state.Phase == stmt.Failed {
 		return s.endFailed(ctx, q)
 	}
 	next, local := s.state.ApplyLocally(q.Statement)
 	if local {
+		if err := s.reserveState(q.Statement, next); err != nil {
+			return s.reply(Reply{Refusal: refusalOf(err), Text: err.Message(), Phase: s.state.Phase})
+		}
 		s.state = next
-		return s.caller.Answer(Reply{Receipt: proxyReceipt, Phase: s.state.Phase})
+		return s.reply(Reply{Receipt: proxyReceipt, Phase: s.state.Phase})
 	}
-	return s.caller.Answer(s.run(ctx, q))
+	return s.reply(s.run(ctx, q))
 }
 
 // checkOrder returns the reply to a statement that is not valid after the previous ones,
@@ -198,7 +207,7 @@
 	if q.Statement.Kind == stmt.Commit {
 		reply = Reply{Refusal: Aborted, Text: "the transaction had failed and was rolled back"}
 	}
-	return s.caller.Answer(reply)
+	return s.reply(reply)
 }
 
 // run sends a statement through the filter chain.
--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -17,6 +17,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
@@ -48,6 +49,11 @@
 	MaxConnections int
 	// CallerQuota divides the connections among the ranks.
 	CallerQuota *quota.Quota
+	// MaxSessions is the maximum number of connections of callers and of proxies that relay
+	// requests, as the file descriptors of the process allow. 0 means that they are not limited.
+	MaxSessions int
+	// Memory is the memory budget. Nil means that memory is not limited.
+	Memory *budget.Budget
 	// Linger is how long a front still admits callers after a drain has started, and
 	// DrainTransactionTimeout how long after that start open transactions may continue.
 	Linger                  time.Duration
@@ -134,22 +140,25 @@
 
 func (f *Front) accept(ctx context.Context) error {
 	return duty.Accept(ctx, f.listener, func(conn net.Conn) {
-		f.ended.Go(ctx, func(ctx context.Context) error { return f.serve(ctx, conn) })
+		// Connections over the limit are refused here, so that those that are being refused do
+		// not add up to many descriptors.
+		s, err := f.admit(conn)
+		if err != nil {
+			f.refuse(conn, fault.FromError(err))
+			_ = conn.Close()
+			return
+		}
+		f.ended.Go(ctx, func(ctx context.Context) error { return f.serve(ctx, s) })
 	})
 }
 
 // serve is the background task of one caller's connection.
-func (f *Front) serve(ctx context.Context, conn net.Conn) error {
-	defer func() { _ = conn.Close() }()
-	s, err := f.admit(conn)
-	if err != nil {
-		f.refuse(conn, fault.FromError(err))
-		return err
-	}
+func (f *Front) serve(ctx context.Context, s *Session) error {
+	defer func() { _ = s.Close() }()
 	defer f.remove(s)
-	err = f.options.Protocol.Serve(ctx, s)
+	err := f.options.Protocol.Serve(ctx, s)
 	if s.Ending() {
-		f.refuse(conn, fault.New(fault.Leaving, "wait for request", "this proxy is draining"))
+		f.refuse(s.Conn, fault.New(fault.Leaving, "wait for request", "this proxy is draining"))
 	}
 	s.Rollback()
 	f.options.Log.Emit(event.CallerClosed, event.Fields{"CallerID": s.Caller.ID, "Caller": s.Caller.Name})
@@ -182,8 +191,8 @@
 	if f.draining.Load() {
 		return nil, fault.New(fault.Leaving, "connect", "this proxy is draining")
 	}
-	if len(f.sessions) >= f.options.MaxConnections+f.options.MaxConnections/2 {
-		return nil, fault.New(fault.Overloaded, "connect", "all %d connections are taken", f.options.MaxConnections)
+	if limit := f.maxSessions(); len(f.sessions) >= limit && !f.evictStarting(time.Now()) {
+		return nil, fault.New(fault.Overloaded, "connect", "all %d connections are taken", limit)
 	}
 	f.nextID++
 	s := newSession(f, conn, f.nextID)
@@ -192,7 +201,18 @@
 	return s, nil
 }
 
+// maxSessions returns the maximum number of sessions, including those of callers that have not
+// logged in yet.
+func (f *Front) maxSessions() int {
+	limit := f.options.MaxConnections + f.options.MaxConnections/2
+	if f.options.MaxSessions > 0 {
+		return min(limit, f.options.MaxSessions)
+	}
+	return limit
+}
+
 func (f *Front) remove(s *Session) {
+	s.Memory.Close()
 	if s.rank != 0 {
 		f.options.CallerQuota.Release(s.rank)
 	}
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
@@ -26,8 +27,13 @@
 	net.Conn
 	// Caller identifies the caller. The protocol sets its names.
 	Caller chain.Caller
+	// Memory accounts for the data that the session holds. It is nil if memory is not
+	// limited.
+	Memory *budget.Hold
 
 	front *Front
+	// opened is when the connection was accepted.
+	opened time.Time
 	// relayed is set if another proxy relays requests over the connection, and
 	// sendDrainNotice then notifies it that this proxy is draining.
 	relayed         bool
@@ -43,10 +49,14 @@
 	lease   *chain.Lease
 	running *chain.Lease
 	ending  bool
+	// accepted is set once the caller has logged in.
+	accepted bool
 }
 
 func newSession(f *Front, conn net.Conn, id uint64) *Session {
-	return &Session{Conn: conn, front: f, Caller: chain.Caller{ID: id}}
+	s := &Session{Conn: conn, front: f, Caller: chain.Caller{ID: id}, opened: time.Now()}
+	s.Memory = f.options.Memory.Open(s.evict)
+	return s
 }
 
 // Options returns the options of the session's front.
@@ -69,6 +79,9 @@
 
 // LogAccepted logs that the caller was admitted.
 func (s *Session) LogAccepted(kind string) {
+	s.mu.Lock()
+	s.accepted = true
+	s.mu.Unlock()
 	s.front.options.Log.Emit(event.CallerAccepted, event.Fields{
 		"CallerID": s.Caller.ID, "Caller": s.Caller.Name, "Service": s.Caller.Service, "Kind": kind,
 	})
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -285,20 +285,5 @@
 
 // DecodeInto reads a length-prefixed value of at most limit bytes.
 func DecodeInto(r io.Reader, limit uint32, into any) error {
-	var head [lengthBytes]byte
-	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return err
-	}
-	size := binary.BigEndian.Uint32(head[:])
-	if size == 0 || size > limit {
-		return &FrameError{Got: fmt.Sprintf("%d bytes", size), Want: fmt.Sprintf("1 to %d", limit)}
-	}
-	body := make([]byte, size)
-	if _, err := io.ReadFull(r, body); err != nil {
-		return err
-	}
-	if err := msgpack.Unmarshal(body, into); err != nil {
-		return &FrameError{Got: err.Error(), Want: "a msgpack value"}
-	}
-	return nil
+	return DecodeReserved(r, limit, into, nil)
 }
--- a/internal/pgfrt/login.go
+++ b/internal/pgfrt/login.go
@@ -51,7 +51,7 @@
 
 func (s *session) readStartup() (*pgproto3.StartupMessage, error) {
 	for range maxStartups {
-		message, err := s.backend.ReceiveStartupMessage()
+		message, err := s.in.Startup()
 		if err != nil {
 			return nil, fault.Wrap(err, fault.Protocol, "log in", "got no valid start-up message")
 		}
@@ -160,8 +160,8 @@
 	denied := func(cause error) error {
 		return fault.Wrap(cause, fault.Denied, "log in", "password authentication failed for caller %q", s.Caller.Name)
 	}
-	first, err := receiveAs[*pgproto3.SASLInitialResponse](s.backend, pgproto3.AuthTypeSASL)
-	if err != nil {
+	var first pgproto3.SASLInitialResponse
+	if err := s.in.ReceiveInto(&first); err != nil {
 		return denied(err)
 	}
 	if first.AuthMechanism != mechanism {
@@ -175,8 +175,8 @@
 	if err := s.backend.Flush(); err != nil {
 		return err
 	}
-	second, err := receiveAs[*pgproto3.SASLResponse](s.backend, pgproto3.AuthTypeSASLContinue)
-	if err != nil {
+	var second pgproto3.SASLResponse
+	if err := s.in.ReceiveInto(&second); err != nil {
 		return denied(err)
 	}
 	final, err := conversation.Step(string(second.Data))
@@ -187,22 +187,6 @@
 	return nil
 }
 
-func receiveAs[M pgproto3.FrontendMessage](b *pgproto3.Backend, authType uint32) (M, error) {
-	var none M
-	if err := b.SetAuthType(authType); err != nil {
-		return none, err
-	}
-	message, err := b.Receive()
-	if err != nil {
-		return none, err
-	}
-	typed, ok := message.(M)
-	if !ok {
-		return none, fault.New(fault.Protocol, "log in", "got message %T, want %T", message, none)
-	}
-	return typed, nil
-}
-
 // parseVerifier parses a verifier of the form
 // SCRAM-SHA-256$iterations:salt$stored:server, the form in which PostgreSQL stores it.
 func parseVerifier(text string) (scram.StoredCredentials, error) {
--- a/internal/pgfrt/pgfrt.go
+++ b/internal/pgfrt/pgfrt.go
@@ -6,6 +6,7 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
+	"io"
 	"net"
 	"time"
 
@@ -37,12 +38,16 @@
 func (Protocol) Serve(ctx context.Context, base *front.Session) error {
 	s := &session{
 		Session: base,
-		backend: pgproto3.NewBackend(base.Conn, base.Conn),
+		backend: pgproto3.NewBackend(noInput{}, base.Conn),
 		out:     wire.NewWriter(base.Conn),
 		collect: wire.NewCollector(base.Options().RequestBytes),
 		key:     newKey(),
 		status:  wire.Idle,
 	}
+	s.in = wire.NewReader(base.Conn, base.Options().RequestBytes, s.reserve)
+	s.collect.OnState(s.Memory.SetState)
+	s.out.OnFlush(s.BeginAnswer, s.Memory.Sent)
+	s.out.OnHold(s.Memory.Receive)
 	base.SetKey(front.Key{ProcessID: s.key.ProcessID, Secret: s.key.SecretKey})
 	return s.serve(ctx)
 }
@@ -58,7 +63,9 @@
 // session is the connection of one caller.
 type session struct {
 	*front.Session
+	// backend sends the messages of the log-in. Messages are received through in.
 	backend *pgproto3.Backend
+	in      *wire.Reader
 	out     *wire.Writer
 	collect *wire.Collector
 	key     *pgproto3.BackendKeyData
@@ -70,9 +77,22 @@
 	skipping bool
 }
 
+// reserve accounts for the messages of the current batch, including the one that is being read.
+func (s *session) reserve(arrived int) error {
+	if err := s.Memory.Reserve(s.collect.PendingBytes() + arrived); err != nil {
+		return fault.Wrap(err, fault.Overloaded, "read request", "the memory for messages is used up")
+	}
+	return nil
+}
+
+// noInput is an empty input.
+type noInput struct{}
+
+// Read implements io.Reader.
+func (noInput) Read([]byte) (int, error) { return 0, io.EOF }
+
 // serve logs the caller in and answers its requests until the connection ends.
 func (s *session) serve(ctx context.Context) error {
-	s.backend.SetMaxBodyLen(s.Options().RequestBytes)
 	// The log-in needs a deep stack, which an idle session should not retain, so it runs as a
 	// separate background task.
 	if err := <-duty.Start(ctx, func(context.Context) error { return s.login() }); err != nil {
@@ -98,7 +118,13 @@
 
 func (s *session) loop(ctx context.Context) error {
 	for {
-		message, err := s.backend.Receive()
+		if s.collect.PendingBytes() == 0 {
+			// Everything that was accounted for has been answered.
+			s.in.Release()
+			s.out.Release()
+			s.Memory.Done()
+		}
+		message, err := s.in.Receive()
 		if err != nil {
 			return s.readFailed(err)
 		}
@@ -110,6 +136,9 @@
 			return err
 		}
 		if batch == nil {
+			if err := s.reserve(0); err != nil {
+				return s.readFailed(err)
+			}
 			continue
 		}
 		if err := s.answer(ctx, batch); err != nil {
@@ -118,12 +147,19 @@
 	}
 }
 
-// readFailed handles a failure to read a message. If the message was too large, it reports this to the
-// caller before the connection ends.
+// readFailed handles a failure to read a message. It reports a fault to the caller before the
+// connection ends.
 func (s *session) readFailed(err error) error {
 	var oversized *pgproto3.ExceededMaxBodyLenErr
-	if errors.As(err, &oversized) {
-		s.out.Put(fatalResponse(fault.Wrap(err, fault.Protocol, "read request", "got more than %d bytes in one message", s.Options().RequestBytes)))
+	switch {
+	case errors.As(err, &oversized):
+		err = fault.Wrap(err, fault.Protocol, "read request", "got more than %d bytes in one message", s.Options().RequestBytes)
+	case s.Memory.Evicted():
+		err = fault.Wrap(err, fault.Overloaded, "read request", "the message took too long while the memory for messages was used up")
+	}
+	var known *fault.Error
+	if errors.As(err, &known) {
+		s.out.Put(fatalResponse(known))
 		_ = s.out.Flush()
 	}
 	return err
@@ -174,6 +210,7 @@
 		return fault.New(fault.Leaving, "read request", "this proxy is draining")
 	}
 	defer s.EndRequest()
+	s.Memory.Complete()
 	x := pgrun.New(batch, s.out)
 	r := &chain.Request{Exchange: x, Label: s.kind, Floor: s.floor, HasToken: s.hasToken, Arrived: time.Now()}
 	pinned := s.Pinned()
--- a/internal/pgrun/pgrun.go
+++ b/internal/pgrun/pgrun.go
@@ -58,6 +58,10 @@
 	return x.receive(conn, plan, o)
 }
 
+// maxPrepared is the number of prepared statements on a connection to a member above which the
+// connection is closed after use, so that callers cannot prepare statements there without end.
+const maxPrepared = 2000
+
 func appendStatus(raw []byte) []byte {
 	raw, _ = (&pgproto3.Query{String: pgmem.StatusQuery}).Encode(raw)
 	return raw
@@ -73,7 +77,7 @@
 	defer x.SetDeadline(time.Time{})
 	answer, err := wire.Relay(conn.Frontend, x.Writer, plan, conn.Prepared, limit)
 	x.answer = answer
-	result := chain.Answer{Idle: answer.Status == wire.Idle, Whole: answer.Whole, Dirty: answer.Dirty}
+	result := chain.Answer{Idle: answer.Status == wire.Idle, Whole: answer.Whole, Dirty: answer.Dirty || len(conn.Prepared) > maxPrepared}
 	if err != nil {
 		return result, err
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 )
@@ -28,6 +29,8 @@
 	Substitutes func(database string) []string
 	// Hosts returns the host list of the documents in force.
 	Hosts func() []book.Host
+	// Memory is the memory budget. Nil means that memory is not limited.
+	Memory *budget.Budget
 }
 
 // Client sends requests to the proxies that own their databases.
@@ -110,7 +113,7 @@
 			if o != nil {
 				o.close()
 			}
-			o = &owner{host: h}
+			o = &owner{host: h, memory: c.options.Memory}
 			c.owners[name] = o
 		}
 		return o
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/duty"
 	"poplarrouter.example/poplarrouter/internal/flow"
@@ -19,6 +20,8 @@
 type ownerConn struct {
 	conn  net.Conn
 	owner *owner
+	// memory accounts for the answers that are being received.
+	memory *budget.Budget
 	// outcomes receives the answer to the job in flight. It is closed when the connection
 	// has ended.
 	outcomes chan Outcome
@@ -35,7 +38,7 @@
 
 // newOwnerConn wraps an open connection to an owner and starts to read from it.
 func newOwnerConn(conn net.Conn, o *owner) *ownerConn {
-	c := &ownerConn{conn: conn, owner: o, outcomes: make(chan Outcome, 1)}
+	c := &ownerConn{conn: conn, owner: o, memory: o.memory, outcomes: make(chan Outcome, 1)}
 	c.ended = duty.Start(context.Background(), c.read)
 	return c
 }
@@ -46,8 +49,8 @@
 	defer c.owner.drop(c)
 	defer close(c.outcomes)
 	for {
-		var o Outcome
-		if err := peer.DecodeInto(c.conn, maxBytes, &o); err != nil {
+		o, err := c.receive()
+		if err != nil {
 			return err
 		}
 		if o.Number == 0 && o.Draining {
@@ -65,6 +68,19 @@
 	}
 }
 
+// receive reads an outcome, and accounts for one that is large while it is read.
+func (c *ownerConn) receive() (o Outcome, err error) {
+	var hold *budget.Hold
+	defer func() { hold.Close() }()
+	err = peer.DecodeReserved(c.conn, maxBytes, &o, func(arrived int) error {
+		if hold == nil {
+			hold = c.memory.Open(func(budget.Class) {})
+		}
+		return hold.Receive(arrived)
+	})
+	return o, err
+}
+
 // Run implements chain.RelayConn.
 func (c *ownerConn) Run(ctx context.Context, r *chain.Request) error {
 	x := r.Exchange.(*flow.Exchange) //nolint:forcetypeassert,errcheck // the protocol whose proxies relay has no others
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 )
 
 const (
@@ -27,6 +28,8 @@
 // owner is a proxy that serves databases, with the connections to it.
 type owner struct {
 	host book.Host
+	// memory accounts for the answers that are being received.
+	memory *budget.Budget
 
 	mu   sync.Mutex
 	idle []*ownerConn
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -5,6 +5,8 @@
 	"net"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/peer"
@@ -31,13 +33,26 @@
 			s.CloseWrite()
 		}
 	})
-	for {
+	for last := uint64(0); ; {
+		s.Memory.Done()
 		var job Job
-		if err := peer.DecodeInto(s, maxBytes, &job); err != nil {
+		err := peer.DecodeReserved(s, maxBytes, &job, s.Memory.Reserve)
+		s.Memory.Complete()
+		var refused *peer.RefusedError
+		var outcome Outcome
+		switch {
+		case err == nil:
+			outcome = run(ctx, s, job)
+		case errors.As(err, &refused):
+			// The jobs of a connection are numbered in order.
+			job.Number = last + 1
+			outcome = Outcome{Failed: true, Fault: fault.Overloaded, Text: "the memory for messages is used up", Draining: s.DrainStarted()}
+		default:
 			return err
 		}
-		outcome := run(ctx, s, job)
+		last = job.Number
 		outcome.Number = job.Number
+		s.Memory.Send(len(outcome.Text) + outcome.Reply.Bytes())
 		if err := answer(s, outcome); err != nil {
 			return err
 		}
--- a/internal/stmt/stmt.go
+++ b/internal/stmt/stmt.go
@@ -158,6 +158,25 @@
 type Setup struct {
 	values   map[string]string
 	prepared map[Shape]string
+	bytes    int
+}
+
+// Bytes returns the memory that the setup takes, roughly and from above.
+func (c Setup) Bytes() int { return c.bytes }
+
+// entryBytes is the memory that a value or a prepared statement takes besides its texts.
+const entryBytes = 128
+
+// Bytes returns the memory that the values and prepared statements take.
+func (s Session) Bytes() int {
+	size := 0
+	for name, value := range s.values {
+		size += len(name) + len(value) + entryBytes
+	}
+	for name, shape := range s.prepared {
+		size += len(name) + len(shape.Text) + entryBytes
+	}
+	return size
 }
 
 // Missing returns the statements that have to run on a connection before a session's
@@ -176,6 +195,8 @@
 		}
 		before = append(before, Statement{Kind: Set, Name: name, Value: value})
 		after.values = with(after.values, name, value)
+		// The size of the earlier value remains counted until the connection is reset.
+		after.bytes += len(name) + len(value) + entryBytes
 	}
 	if st.Kind != Execute {
 		return before, "", after
@@ -189,6 +210,7 @@
 		maps.Copy(prepared, after.prepared)
 		prepared[shape] = name
 		after.prepared = prepared
+		after.bytes += 2*len(shape.Text) + entryBytes
 	}
 	return before, name, after
 }
--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -65,12 +65,15 @@
 type Collector struct {
 	limit      int
 	statements map[string]statement
+	// stateBytes is the size of the statements, and reserve is called before it grows.
+	stateBytes int
+	reserve    func(stateBytes int) error
 	batch      *Batch
 }
 
 // NewCollector returns a collector of batches of at most limit bytes.
 func NewCollector(limit int) *Collector {
-	return &Collector{limit: limit, statements: make(map[string]statement)}
+	return &Collector{limit: limit, statements: make(map[string]statement), reserve: func(int) error { return nil }}
 }
 
 // Add adds a message. It returns a batch once one is complete, or a Protocol fault for a message
@@ -118,6 +121,62 @@
 	return c.finish(msg)
 }
 
+// maxItems limits the messages of one batch, each of which costs more memory than its own size.
+// It is far above what drivers send: four messages for each of thousands of statements.
+const maxItems = 1 << 14
+
+// PendingBytes returns the size of the batch that is not complete yet.
+func (c *Collector) PendingBytes() int {
+	if c.batch == nil {
+		return 0
+	}
+	return c.batch.bytes
+}
+
+// StateBytes returns the size of the session's prepared statements.
+func (c *Collector) StateBytes() int { return c.stateBytes }
+
+// OnState sets a function that is called with the size of the prepared statements before it
+// grows. A statement for which it returns an error is not prepared.
+func (c *Collector) OnState(reserve func(stateBytes int) error) { c.reserve = reserve }
+
+const (
+	// entryBytes is the memory that a prepared statement takes besides its texts.
+	entryBytes = 256
+	// stateLimits is the size of a session's prepared statements, in multiples of the size of
+	// the largest request. A statement is held as text and as a message, so that the largest
+	// one takes two of them.
+	stateLimits = 3
+)
+
+// bytes returns the memory that a statement takes under a name.
+func (s statement) bytes(callerName string) int {
+	return len(callerName) + len(s.name) + len(s.text) + len(s.raw) + entryBytes
+}
+
+// setStatement records a prepared statement of the session. It returns an Overloaded fault if the
+// session's statements take too much memory.
+func (c *Collector) setStatement(callerName string, st statement) error {
+	c.dropStatement(callerName)
+	size := c.stateBytes + st.bytes(callerName)
+	if size > stateLimits*c.limit+entryBytes {
+		return fault.New(fault.Overloaded, "prepare", "the session's prepared statements take more than %d bytes", stateLimits*c.limit)
+	}
+	if err := c.reserve(size); err != nil {
+		return fault.Wrap(err, fault.Overloaded, "prepare", "the memory for prepared statements is used up")
+	}
+	c.stateBytes = size
+	c.statements[callerName] = st
+	return nil
+}
+
+func (c *Collector) dropStatement(callerName string) {
+	if st, found := c.statements[callerName]; found {
+		c.stateBytes -= st.bytes(callerName)
+		delete(c.statements, callerName)
+	}
+}
+
 func (c *Collector) add(kind itemKind, name string, message pgproto3.FrontendMessage) error {
 	raw, err := message.Encode(nil)
 	if err != nil {
@@ -127,6 +186,9 @@
 	if c.batch.bytes > c.limit {
 		return fault.New(fault.Protocol, "read request", "got more than %d bytes in one request", c.limit)
 	}
+	if len(c.batch.items) >= maxItems {
+		return fault.New(fault.Protocol, "read request", "got more than %d messages in one request", maxItems)
+	}
 	c.batch.items = append(c.batch.items, item{kind: kind, statement: name, raw: raw})
 	return nil
 }
@@ -153,7 +215,9 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Protocol, "read request", "the statement cannot be encoded")
 	}
-	c.statements[callerName] = statement{name: renamed.Name, text: msg.Query, raw: raw}
+	if err := c.setStatement(callerName, statement{name: renamed.Name, text: msg.Query, raw: raw}); err != nil {
+		return err
+	}
 	c.recordText(msg.Query)
 	return c.add(parseItem, renamed.Name, renamed)
 }
@@ -206,7 +270,7 @@
 	if msg.ObjectType != 'S' {
 		return c.add(closeItem, "", msg)
 	}
-	delete(c.statements, msg.Name)
+	c.dropStatement(msg.Name)
 	return c.add(closeItem, "", &pgproto3.Close{ObjectType: 'P', Name: absentPortal})
 }
 
--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -85,6 +85,9 @@
 		if to.HeldBytes() > max(limit, 0) && limit > 0 {
 			return r.answer, fault.New(fault.Oversized, "hold answer", "got more than %d bytes after a completed statement", limit)
 		}
+		if err := to.Reserve(); err != nil {
+			return r.answer, fault.Wrap(err, fault.Oversized, "hold answer", "the memory for answers is used up")
+		}
 	}
 }
 
--- a/internal/wire/writer.go
+++ b/internal/wire/writer.go
@@ -20,11 +20,37 @@
 	heldFrom int
 	sent     bool
 	err      error
+	// beforeFlush is called with the number of bytes before they are written, and afterFlush
+	// afterwards. hold is called with the number of buffered bytes before the part that is held
+	// back grows. They may be nil.
+	beforeFlush func(size int, latest time.Time)
+	afterFlush  func()
+	hold        func(size int) error
+	// deadline is that of later writes, or zero.
+	deadline time.Time
 }
 
 // NewWriter returns a writer to a caller's connection.
 func NewWriter(conn net.Conn) *Writer { return &Writer{conn: conn} }
 
+// OnFlush sets the functions that are called before and after buffered bytes are written. The
+// first one sets the deadline of the write, which must not be after latest unless that is zero.
+func (w *Writer) OnFlush(before func(size int, latest time.Time), after func()) {
+	w.beforeFlush, w.afterFlush = before, after
+}
+
+// OnHold sets a function that accounts for the buffered bytes while messages are held back. If
+// it returns an error, Reserve returns it.
+func (w *Writer) OnHold(hold func(size int) error) { w.hold = hold }
+
+// Reserve accounts for the bytes that are held back.
+func (w *Writer) Reserve() error {
+	if !w.holding || w.hold == nil {
+		return nil
+	}
+	return w.hold(len(w.buffer))
+}
+
 // Put adds a message. It may write out messages, but none that are held back.
 func (w *Writer) Put(message pgproto3.BackendMessage) {
 	if w.err != nil {
@@ -73,6 +99,7 @@
 // SetDeadline sets the deadline of all later writes to the caller, so that a caller that does not
 // read cannot occupy a member's connection.
 func (w *Writer) SetDeadline(t time.Time) {
+	w.deadline = t
 	if err := w.conn.SetWriteDeadline(t); err != nil && w.err == nil {
 		w.err = err
 	}
@@ -84,6 +111,16 @@
 // Begin marks the start of an answer.
 func (w *Writer) Begin() { w.sent = false }
 
+// idleBufferBytes is the size of the largest buffer that a Writer keeps between answers.
+const idleBufferBytes = 4 << 10
+
+// Release drops a large buffer, so that an idle session does not keep it.
+func (w *Writer) Release() {
+	if cap(w.buffer) > idleBufferBytes && len(w.buffer) == 0 {
+		w.buffer = nil
+	}
+}
+
 // Discard discards all messages that have not been written.
 func (w *Writer) Discard() { w.buffer, w.holding = w.buffer[:0], false }
 
@@ -93,6 +130,10 @@
 		w.holding = false
 		return w.err
 	}
+	if w.beforeFlush != nil {
+		w.beforeFlush(len(w.buffer), w.deadline)
+		defer w.afterFlush()
+	}
 	_, w.err = w.conn.Write(w.buffer)
 	w.sent, w.holding = true, false
 	w.buffer = w.buffer[:0]
