Limit the log lines of each event by rate

Cause: 437,015 lines were written in 45 s under a crowd of 300 callers. Lines contained what callers sent, up to 1 MiB each, in a ring of 4,096 lines.

The next line of the event contains the number of suppressed ones (Suppressed).

--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -133,6 +133,9 @@
 	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "poplarrouter_log_lines_dropped_total", Help: "Log lines that found no room in the ring.",
 	}, func() float64 { return float64(log.Dropped()) }))
+	registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "poplarrouter_log_lines_suppressed_total", Help: "Log lines that exceeded the rate of their event.",
+	}, func() float64 { return float64(log.Suppressed()) }))
 	return registry
 }
 
--- a/internal/event/event.go
+++ b/internal/event/event.go
@@ -4,12 +4,14 @@
 // for it and look it up in docs/EVENTS.md. The numbers never change meaning.
 // Lines pass through a ring to a single writer, so a caller of Log never waits for
 // the disk or the terminal. Lines that are logged while the ring is full are dropped
-// and counted.
+// and counted. The lines of events that callers cause are limited by rate; the next line of the
+// event contains the number of those that were suppressed.
 package event
 
 import (
 	"context"
 	"io"
+	"time"
 
 	"github.com/sirupsen/logrus"
 
@@ -25,12 +27,15 @@
 type line struct {
 	event  Event
 	fields Fields
+	// suppressed is the number of lines of the event that were suppressed before this one.
+	suppressed uint64
 }
 
 // Log writes numbered events to an output.
 type Log struct {
-	ring   *duty.Ring[line]
-	logger *logrus.Logger
+	ring    *duty.Ring[line]
+	logger  *logrus.Logger
+	limiter *Limiter
 }
 
 // New returns a log that writes JSON lines to w, and a clean-up function that
@@ -43,15 +48,24 @@
 		logrus.FieldKeyLevel: "Level",
 		logrus.FieldKeyMsg:   "Name",
 	}})
-	l := &Log{ring: duty.NewRing[line](ringCapacity), logger: logger}
+	l := &Log{ring: duty.NewRing[line](ringCapacity), logger: logger, limiter: NewLimiter()}
 	return l, duty.Run(l.write)
 }
 
-// Emit logs an event. It never blocks.
+// Emit logs an event, unless too many of its lines were logged within a short time. It never
+// blocks. It may shorten long texts in fields.
 func (l *Log) Emit(e Event, fields Fields) {
-	l.ring.Offer(line{event: e, fields: fields})
+	allowed, suppressed := l.limiter.Allow(e, time.Now())
+	if !allowed {
+		return
+	}
+	shorten(e, fields)
+	l.ring.Offer(line{event: e, fields: fields, suppressed: suppressed})
 }
 
+// Suppressed returns the number of lines that exceeded the limits of their events.
+func (l *Log) Suppressed() uint64 { return l.limiter.Suppressed() }
+
 // Dropped returns the number of lines dropped because the ring was full.
 func (l *Log) Dropped() uint64 { return l.ring.Dropped() }
 
@@ -80,5 +94,8 @@
 
 func (l *Log) print(item line) {
 	entry := l.logger.WithFields(item.fields).WithField("Event", int(item.event))
+	if item.suppressed > 0 {
+		entry = entry.WithField("Suppressed", item.suppressed)
+	}
 	entry.Log(item.event.level(), item.event.String())
 }
