--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -17,7 +17,7 @@
 
 // FreeBytes is the number of bytes that a connection may hold in each class without accounting
 // for them. It covers messages of the usual size, so that an ordinary request takes no lock.
-const FreeBytes = 4 << 10
+const FreeBytes = 8 << 10
 
 // Class is a kind of data that the budget accounts for.
 type Class uint8
@@ -120,7 +120,7 @@
 // cost returns the bytes that are accounted for a message of a size. They grow in steps that
 // double, as buffers do.
 func cost(size int) int64 {
-	step := int64(2 * FreeBytes)
+	step := int64(FreeBytes)
 	for step < int64(size) {
 		step *= 2
 	}
