--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -9,6 +9,7 @@
 	"go.uber.org/fx"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
@@ -98,7 +99,7 @@
 
 // newLineParts returns the parts for members that use the line protocol of typed
 // statements.
-func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter) (*protocolParts, error) {
+func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget) (*protocolParts, error) {
 	tokens, err := ctrl.NewTokens(mesh.Address())
 	if err != nil {
 		return nil, err
@@ -111,7 +112,7 @@
 		Host: s.Host, Region: s.Region, QueueLimit: s.Limits.Queue, Connections: l.connections, Slots: l.slots, Hosts: l.hosts, Listed: l.listed, OnResize: l.resize,
 	})
 	ownerBalances := even.NewBalances()
-	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts, SheetSerial: l.sheetSerial, Load: shares.HostLoad, Balances: ownerBalances})
+	relays, closeRelays := relay.New(relay.Options{Host: s.Host, Region: s.Region, Dial: mesh.Dial, Owners: l.owners, Substitutes: l.standbyOwners, Hosts: l.listedHosts, SheetSerial: l.sheetSerial, Load: shares.HostLoad, Balances: ownerBalances, Memory: memory})
 	onStop(lc, closeRelays)
 	p := &protocolParts{
 		protocol:        flow.Protocol{NewCaller: caller.New},
@@ -155,7 +156,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return flow.NewMemberConn(conn), nil
+				return flow.NewMemberConn(memb.WithBudget(conn, memory)), nil
 			},
 		})
 	}
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/even"
 	"poplarrouter.example/poplarrouter/pkg/fault"
@@ -37,6 +38,8 @@
 	// Balances is the state of the choice among owners that are equally suitable. Nil means
 	// a new one.
 	Balances *even.Balances
+	// Memory is the memory budget. Nil means that memory is not limited.
+	Memory *budget.Budget
 }
 
 // Client sends requests to the proxies that own their databases.
@@ -128,7 +131,7 @@
 			if o != nil {
 				o.close()
 			}
-			o = &owner{host: h, sheetSerial: c.options.SheetSerial}
+			o = &owner{host: h, sheetSerial: c.options.SheetSerial, memory: c.options.Memory}
 			c.owners[name] = o
 		}
 		return o
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/budget"
 )
 
 const (
@@ -29,6 +30,8 @@
 	host book.Host
 	// sheetSerial returns the serial of this proxy's sheet.
 	sheetSerial func() uint64
+	// memory accounts for the answers that are being received.
+	memory *budget.Budget
 
 	mu   sync.Mutex
 	idle []*ownerConn
