--- a/internal/labpf/identity_test.go
+++ b/internal/labpf/identity_test.go
@@ -112,6 +112,27 @@
 	s.Expect(s.platform.Count("inside")).To(BeZero())
 }
 
+// TestRemovedKeyIsRefusedInRelayedTransactions guards against a transaction that continues at its
+// owner, or is committed there, after the caller's key was removed.
+func TestRemovedKeyIsRefusedInRelayedTransactions(t *testing.T) {
+	s, _, others := newFleet(t)
+	s.putTenants(2, tenant("acme", "first", "second"))
+	writing, committing, other := s.enterWith(others[0], private, "first"), s.enterWith(others[1], private, "first"), s.enterWith(others[0], private, "second")
+	s.comes(other, "WRITE k before")
+	for _, c := range []*caller{writing, committing} {
+		s.does(c, "BEGIN")
+		s.does(c, "WRITE k inside")
+	}
+	s.putTenants(3, tenant("acme", "second"))
+	s.Expect(s.refuses(writing, "WRITE k after")).To(Equal("E"))
+	s.does(writing, "ROLLBACK")
+	s.Expect(s.refuses(committing, "COMMIT")).To(Equal("I"))
+	s.does(other, "WRITE k other")
+	s.Expect(s.does(other, "READ k")).To(Equal("other"))
+	s.Expect(s.platform.Count("inside") + s.platform.Count("after")).To(BeZero())
+	s.Expect(s.connectedFor("after")).To(BeEmpty())
+}
+
 // TestStatementsRunInTheNameOfTheirCustomer guards against a statement that reaches a member on a
 // connection of another customer: many customers share few connections, and some of their
 // requests are relayed.
--- a/internal/relay/client_test.go
+++ b/internal/relay/client_test.go
@@ -47,6 +47,7 @@
 		Owners:      func(string) ([]string, bool) { return []string{"owner", "other"}, false },
 		Substitutes: func(string) []string { return nil },
 		Hosts:       func() []book.Host { return hosts },
+		SheetSerial: func() uint64 { return 6 },
 	})
 	t.Cleanup(cleanUp)
 	o.client = client
@@ -82,7 +83,7 @@
 	query := flow.Query{ID: "q1", Statement: stmt.Statement{Kind: stmt.Write, Text: "WRITE k v"}}
 	return &chain.Request{
 		Name: "q1", Exchange: flow.NewExchange(query, session), Arrived: time.Now(), Floor: group.Floor{Term: 2, Position: 7},
-		Caller: chain.Caller{Name: "anna", Service: "orders"},
+		Caller: chain.Caller{Name: "anna", Service: "orders", Customer: "acme", KeyDigest: "digest"},
 		Work:   sheet.Row{Service: "orders", Database: "stock", Rank: 1, Deadline: time.Second, Secret: "secret"}, Replicated: true,
 	}
 }
@@ -103,6 +104,7 @@
 	g.Expect(conn.Run(t.Context(), r)).To(Succeed())
 	job := <-jobs
 	g.Expect(job.Caller).To(Equal("anna"))
+	g.Expect([]any{job.Customer, job.KeyDigest, job.SheetSerial}).To(Equal([]any{"acme", "digest", uint64(6)}))
 	g.Expect(job.Replicated).To(BeTrue())
 	g.Expect(job.Floor).To(Equal(r.Floor))
 	g.Expect(job.Work.Secret).To(BeEmpty(), "the secret is not relayed")
--- /dev/null
+++ b/internal/relay/export_test.go
@@ -0,0 +1,4 @@
+package relay
+
+// CheckCustomer is exported for tests.
+var CheckCustomer = checkCustomer
