Test public sessions whose keys change, and keep exchanged fields out of the log

Cause: a caller that exchanges service and key had its key logged as a service. Change: such a service is left out of the log and the answer; tests of it, of public sessions that follow their key, and of the phases after a refused key.

--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -209,6 +209,7 @@
 func TestReplyToFailedRequest(t *testing.T) {
 	open := begun(stmt.Begin).WithPhase(stmt.Open)
 	severed, refused := fault.New(fault.Severed, "run", "cut"), fault.New(fault.Overloaded, "run", "full")
+	unknownKey, rollback := fault.New(fault.UnknownKey, "check key", "removed"), stmt.Statement{Kind: stmt.Rollback, Text: "ROLLBACK"}
 	for name, c := range map[string]struct {
 		statement stmt.Statement
 		session   stmt.Session
@@ -222,6 +223,10 @@
 		"a commit that was sent":               {commit, open, severed, flow.InDoubt, stmt.Idle},
 		"a write in a transaction":             {write, open, severed, flow.Aborted, stmt.Failed},
 		"the first statement of a transaction": {read, begun(stmt.Begin), refused, flow.Aborted, stmt.Failed},
+		"a single write with a removed key":    {write, stmt.Session{}, unknownKey, flow.Unauthorized, stmt.Idle},
+		"a write in a transaction, removed":    {write, open, unknownKey, flow.Unauthorized, stmt.Failed},
+		"a commit with a removed key":          {commit, open, unknownKey, flow.Unauthorized, stmt.Idle},
+		"a rollback with a removed key":        {rollback, open, unknownKey, flow.Unauthorized, stmt.Idle},
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := NewWithT(t)
--- a/internal/flow/identity.go
+++ b/internal/flow/identity.go
@@ -25,8 +25,12 @@
 	} else {
 		s.identify(current)
 	}
+	if _, isKey := current.CustomerOfKey(sheet.KeyDigest(start.Service)); isKey && !listed {
+		// The caller has exchanged the fields. The key must not be logged as a service.
+		s.Caller.Service = ""
+	}
 	if !listed {
-		return work, fault.New(fault.Denied, "connect", "no service %q is listed", start.Service)
+		return work, fault.New(fault.Denied, "connect", "no service %q is listed", s.Caller.Service)
 	}
 	if work.KeyRequired && s.Caller.Customer == "" {
 		return work, unknownKey("connect")
--- a/internal/labpf/identity_test.go
+++ b/internal/labpf/identity_test.go
@@ -112,6 +112,35 @@
 	s.Expect(s.platform.Count("inside")).To(BeZero())
 }
 
+// TestPublicSessionsFollowTheirKey guards against refusing callers of a public service when keys
+// change, and against running their statements in the name of a customer who does not hold the key.
+func TestPublicSessionsFollowTheirKey(t *testing.T) {
+	s := newSite(t, 1)
+	c, inside := s.enterWith(0, labpf.Session, "first"), s.enterWith(0, labpf.Session, "first")
+	ranAs := func(c *caller, marker, name string) {
+		s.does(c, "WRITE k "+marker)
+		s.Expect(s.connectedFor(marker)).To(Equal(map[string]int{name: 1}), marker)
+	}
+	s.comes(c, "WRITE k ready")
+	ranAs(c, "plain", "front-1")
+	s.does(inside, "BEGIN")
+	s.does(inside, "WRITE k inside-1")
+	s.putTenants(2, tenant("acme", "first"))
+	ranAs(c, "named", "acme")
+	ranAs(inside, "inside-2", "front-1")
+	s.does(inside, "COMMIT")
+	ranAs(inside, "outside", "acme")
+	s.putTenants(3, tenant("zenith", "first"))
+	ranAs(c, "shifted", "zenith")
+	s.does(inside, "BEGIN")
+	ranAs(inside, "again", "zenith")
+	s.putTenants(4)
+	ranAs(c, "dropped", "front-1")
+	s.Expect(s.refuses(inside, "COMMIT")).To(Equal("I"))
+	ranAs(inside, "after", "front-1")
+	s.Expect(s.platform.Count("again")).To(BeZero())
+}
+
 // TestRemovedKeyIsRefusedInRelayedTransactions guards against a transaction that continues at its
 // owner, or is committed there, after the caller's key was removed.
 func TestRemovedKeyIsRefusedInRelayedTransactions(t *testing.T) {
@@ -222,6 +251,9 @@
 			t.Cleanup(func() { _ = c.conn.Close() })
 		}
 	}
+	_, err = dialWith(s.proxies[0].Address(), secret+"-1", private)
+	s.Expect(err).To(MatchError(ContainSubstring("NODB")), "the fields are exchanged")
+	errors = append(errors, err.Error())
 	open := s.enterWith(1, private, secret+"-1")
 	s.putTenants(3, tenant("acme", secret+"-2"))
 	s.refuses(open, "READ k")
