--- a/internal/chain/export_test.go
+++ b/internal/chain/export_test.go
@@ -5,6 +5,7 @@
 
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // RunLeased runs a request that may write on a connection and a permit, and skips the filters
@@ -19,3 +20,6 @@
 	CannotServe    = cannotServe
 	SkippedMembers = skippedMembers
 )
+
+// KeysInForce returns the sheet in force and whether its keys can be accepted.
+func KeysInForce(o Options) (sheet.Sheet, bool) { return (&filters{Options: o}).keys() }
--- a/internal/ctrl/recency.go
+++ b/internal/ctrl/recency.go
@@ -129,7 +129,7 @@
 			r.step(func(s recent.State, _ time.Duration) recent.State { return r.withHosts(s, documents.Hosts()) })
 		}
 		r.takeSheet()
-		r.takeRead(read)
+		r.step(func(s recent.State, now time.Duration) recent.State { return withRead(s, now, read) })
 		r.reportChange()
 		pause := r.act()
 		select {
@@ -163,18 +163,22 @@
 	if documents.Serial(book.Sheet) == r.state.Load().Sheet().Serial {
 		return
 	}
+	// If the watch of the store returned this sheet, its proof counts from now on.
+	read, _ := r.options.Documents.WatchSheetReads()
 	v, keys := versionOf(documents), documents.Sheet()
 	customers, subset := keys.HasCustomers(), keys.KeysWithin(r.keys)
 	r.keys = keys
-	r.stepLocked(func(s recent.State, now time.Duration) recent.State { return s.WithSheet(now, v, customers, subset) })
+	r.stepLocked(func(s recent.State, now time.Duration) recent.State {
+		return withRead(s, now, read).WithSheet(now, v, customers, subset)
+	})
 }
 
-// takeRead handles the last answer to the watch of the sheet.
-func (r *Recency) takeRead(read SheetRead) {
-	if read.AskedAt > 0 {
-		p := recent.Proof{Version: read.Sheet, At: read.AskedAt, Source: recent.SourceWatch}
-		r.step(func(s recent.State, now time.Duration) recent.State { return s.WithProof(now, p) })
+// withRead returns the state after an answer to the watch of the sheet.
+func withRead(s recent.State, now time.Duration, read SheetRead) recent.State {
+	if read.AskedAt == 0 {
+		return s
 	}
+	return s.WithProof(now, recent.Proof{Version: read.Sheet, At: read.AskedAt, Source: recent.SourceWatch})
 }
 
 // act does what is to be done now, and returns the time until the next plan.
--- /dev/null
+++ b/internal/ctrl/recency_test.go
@@ -0,0 +1,221 @@
+package ctrl_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/onsi/gomega"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/ctrl"
+	"poplarrouter.example/poplarrouter/internal/event"
+	"poplarrouter.example/poplarrouter/internal/guard"
+	"poplarrouter.example/poplarrouter/internal/labkv"
+	"poplarrouter.example/poplarrouter/internal/recent"
+	"poplarrouter.example/poplarrouter/internal/store"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
+)
+
+// recencyHost is a host without peers. Its clock counts the time for which it was suspended.
+type recencyHost struct {
+	*labkv.Memory
+	documents *ctrl.Documents
+	recency   *ctrl.Recency
+	log       bytes.Buffer
+	mu        sync.Mutex
+	slept     atomic.Int64
+	// unwatched is set while watches of the store wait in vain.
+	unwatched atomic.Bool
+	confirms  atomic.Int64
+	serial    uint64
+}
+
+func (h *recencyHost) Write(p []byte) (int, error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.log.Write(p)
+}
+
+// lines returns the number of log lines with a text.
+func (h *recencyHost) lines(text string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return strings.Count(h.log.String(), text)
+}
+
+// Watch implements store.Store.
+func (h *recencyHost) Watch(ctx context.Context, key string, seen store.Version) (store.Object, error) {
+	if h.unwatched.Load() {
+		<-ctx.Done()
+		return store.Object{}, ctx.Err()
+	}
+	return h.Memory.Watch(ctx, key, seen)
+}
+
+// Confirm implements store.Confirmer.
+func (h *recencyHost) Confirm(ctx context.Context, key string, seen store.Version) (store.Object, error) {
+	h.confirms.Add(1)
+	return h.Memory.Confirm(ctx, key, seen)
+}
+
+// QueryProof implements ctrl.ProofPeers.
+func (*recencyHost) QueryProof(string, uint64) bool { return true }
+
+// load loads a sheet whose customer has the given keys.
+func (h *recencyHost) load(keys ...string) {
+	h.serial++
+	var digests []string
+	for _, k := range keys {
+		digests = append(digests, sheet.KeyDigest(k))
+	}
+	raw, err := json.Marshal(book.SheetDoc{Serial: h.serial, Rows: []sheet.Row{{Service: "s", Database: "d"}}, Customers: []sheet.Customer{{Name: "kranz", KeyDigests: digests}}})
+	if err != nil {
+		panic(err)
+	}
+	old, _ := h.Get(context.Background(), string(book.Sheet))
+	if _, err := h.Put(context.Background(), string(book.Sheet), raw, old.Version); err != nil {
+		panic(err)
+	}
+}
+
+const testRevoke = 5 * time.Second
+
+// newRecencyHost starts a host with a sheet of one key, and waits until the key is accepted.
+func newRecencyHost(t *testing.T) *recencyHost {
+	h := &recencyHost{Memory: labkv.New()}
+	h.load("one")
+	log, stopLog := event.New(h)
+	documents, stopDocuments := ctrl.NewDocuments(ctrl.DocumentsOptions{
+		Host: "h", Store: h, Log: log, Guard: guard.New(log, prometheus.NewRegistry(), nil), Broadcaster: noBroadcast{},
+		LastHeard: time.Now, WatchersPerRegion: 3, Retry: time.Second,
+	})
+	began := time.Now()
+	recency, stopRecency := ctrl.NewRecency(ctrl.RecencyOptions{
+		Host: "h", Rules: recent.RulesFor(testRevoke), Documents: documents, Store: h, Peers: h, Log: log,
+		Clock: func() time.Duration { return time.Hour + time.Since(began) + time.Duration(h.slept.Load()) },
+	})
+	h.documents, h.recency = documents, recency
+	t.Cleanup(func() {
+		stopRecency()
+		stopDocuments()
+		stopLog()
+	})
+	return h
+}
+
+// TestKeysAreRefusedWithoutTheStore guards against keys that are accepted for longer than
+// RevokeMs after the last answer of the store, and against a host that does not recover when
+// the store answers again.
+func TestKeysAreRefusedWithoutTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newRecencyHost(t)
+		time.Sleep(time.Minute)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+		h.SetDown(true)
+		time.Sleep(2 * time.Second)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+		time.Sleep(testRevoke - 2*time.Second)
+		g.Expect(h.recency.Recent()).To(BeFalse())
+		g.Expect(h.recency.Status().Age).To(BeNumerically("<", testRevoke+2100*time.Millisecond), "the last read was up to 2 s before the failure")
+		time.Sleep(time.Minute)
+		g.Expect(h.lines("key-proof-expired")).To(Equal(1))
+		g.Expect(h.recency.Status().FailedReads).To(BeNumerically("<=", 66))
+		h.SetDown(false)
+		time.Sleep(1100 * time.Millisecond)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+		g.Expect(h.lines("key-proof-renewed")).To(Equal(1))
+	})
+}
+
+// TestLogOfAnUnsteadyStoreIsBounded guards against a log that is flooded while proofs come and
+// go.
+func TestLogOfAnUnsteadyStoreIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newRecencyHost(t)
+		const rounds = 20
+		for range rounds {
+			time.Sleep(1100 * time.Millisecond)
+			h.SetDown(true)
+			// A suspension makes the proof too old at once.
+			h.slept.Add(int64(testRevoke))
+			time.Sleep(500 * time.Millisecond)
+			g.Expect(h.recency.Recent()).To(BeFalse())
+			h.SetDown(false)
+		}
+		time.Sleep(time.Second)
+		// The clock has advanced by 20 x (5 + 1.6) s.
+		g.Expect(h.lines("key-proof-expired")).To(BeNumerically("<=", 14))
+		g.Expect(h.lines("Suppressed")).To(BeNumerically(">", 0))
+	})
+}
+
+// TestSuspensionMakesTheProofOld guards against a host that accepts a key after a suspension
+// because its monotonic clock did not count it.
+func TestSuspensionMakesTheProofOld(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newRecencyHost(t)
+		time.Sleep(10 * time.Second)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+		h.slept.Add(int64(testRevoke))
+		g.Expect(h.recency.Recent()).To(BeFalse())
+		time.Sleep(time.Second)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+	})
+}
+
+// TestConfirmedNewsComesIntoForce guards against a removal that a confirmation of the sheet
+// returned, and that was lost because the watch of the sheet is silent.
+func TestConfirmedNewsComesIntoForce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newRecencyHost(t)
+		h.load("one", "two")
+		time.Sleep(10 * time.Second)
+		h.unwatched.Store(true)
+		// Ends the watch in progress.
+		h.load("one")
+		time.Sleep(10 * time.Second)
+		h.load("two")
+		time.Sleep(time.Second)
+		_, found := h.documents.Book().Sheet().CustomerOfKey(sheet.KeyDigest("one"))
+		g.Expect(found).To(BeFalse())
+		g.Expect(h.recency.Recent()).To(BeTrue())
+	})
+}
+
+// TestSheetOfAPeerIsNotTrustedUnproven guards against a proof of one sheet that is taken for
+// another one: a sheet from before the store was restored, which a peer still holds, has a
+// greater serial and a key that was removed since.
+func TestSheetOfAPeerIsNotTrustedUnproven(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newRecencyHost(t)
+		time.Sleep(10 * time.Second)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+		raw, err := json.Marshal(book.SheetDoc{Serial: 7, Rows: []sheet.Row{{Service: "s", Database: "d"}}, Customers: []sheet.Customer{{Name: "kranz", KeyDigests: []string{sheet.KeyDigest("one"), sheet.KeyDigest("removed")}}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		doc, err := book.ParseDoc(book.Sheet, raw)
+		g.Expect(err).NotTo(HaveOccurred())
+		h.documents.Receive(doc, "peer")
+		for range 1000 {
+			// Whoever sees the sheet must not see it as recent, at whatever time.
+			if recent := h.recency.Recent(); h.documents.Book().Serial(book.Sheet) == 7 && recent {
+				g.Expect(h.recency.Recent()).To(BeFalse())
+			}
+		}
+		time.Sleep(20 * time.Second)
+		g.Expect(h.documents.Book().Serial(book.Sheet)).To(BeEquivalentTo(7))
+		g.Expect(h.recency.Recent()).To(BeFalse())
+	})
+}
--- a/internal/recent/plan.go
+++ b/internal/recent/plan.go
@@ -152,7 +152,7 @@
 		period = s.rules.ReadPause
 	}
 	age := s.proofAge(now)
-	if !s.plan.reader && s.failures > 0 && age > s.rules.LossAge {
+	if len(s.plan.parents) > 0 && !s.plan.reader && s.failures > 0 && age > s.rules.LossAge {
 		period *= min(time.Duration(s.failures), lossFactor)
 	}
 	if !s.everRead {
--- a/internal/recent/sim_test.go
+++ b/internal/recent/sim_test.go
@@ -52,9 +52,9 @@
 	refusedUntil time.Duration
 	// lost are keys that were removed by the sheet in force, and are in the store again
 	// because it was restored.
-	lost                  map[string]bool
-	reads, queries, stale int
-	watches               bool
+	lost                         map[string]bool
+	reads, queries, asked, stale int
+	watches                      bool
 }
 
 type entry struct {
@@ -80,6 +80,7 @@
 	order  int
 	queue  queue
 	hosts  []*host
+	byName map[string]*host
 	faults bool
 	// monotonic is set if the clocks do not count suspended time.
 	monotonic bool
@@ -106,7 +107,7 @@
 
 // newSim returns a simulation of a number of hosts in each of some regions.
 func newSim(seed uint64, regions, perRegion int) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[[2]*host]time.Duration), removedAt: make(map[string]time.Duration), lag: 20 * time.Millisecond}
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), cuts: make(map[[2]*host]time.Duration), removedAt: make(map[string]time.Duration), byName: make(map[string]*host), lag: 20 * time.Millisecond}
 	s.publish(sheet{serial: 1, keys: map[string]bool{"k1": true, "k2": true, "k3": true}})
 	var list []recent.Host
 	for r := range regions {
@@ -116,7 +117,7 @@
 	}
 	for i, h := range list {
 		n := &host{Host: h, boot: time.Duration(s.rng.Int64N(int64(time.Hour))), rate: 1 + (s.rng.Float64()-0.5)/1000, watches: i%4 == 0}
-		s.hosts = append(s.hosts, n)
+		s.hosts, s.byName[h.Name] = append(s.hosts, n), n
 		s.after(time.Duration(s.rng.Int64N(int64(200*time.Millisecond))), func() { s.start(n, list) })
 	}
 	return s
@@ -191,7 +192,7 @@
 	h.state, a = h.state.Plan(s.clock(h))
 	for _, q := range a.Queries {
 		h.queries++
-		s.query(h, s.named(q.Host), q.ID)
+		s.query(h, s.byName[q.Host], q.ID)
 	}
 	if a.Read {
 		s.read(h, a.At)
@@ -203,10 +204,6 @@
 	})
 }
 
-func (s *sim) named(name string) *host {
-	return s.hosts[slices.IndexFunc(s.hosts, func(h *host) bool { return h.Name == name })]
-}
-
 // delay is how long a message takes. With faults some take seconds, as do those of hosts that
 // are frozen while they send.
 func (s *sim) delay() time.Duration {
@@ -227,6 +224,7 @@
 	}
 	life := from.life
 	s.on(to, s.delay(), func() {
+		to.asked++
 		v, age, proven := to.state.Answer(s.clock(to))
 		if !proven || s.lose(to, from) {
 			return
