Use answer times of owners as a sign of their load

Cause: most hosts have no report of most owners, and at 89 hosts each has less than one job in flight at an owner, so that an owner which a large customer prefers is overloaded unnoticed. Change: a host keeps the running mean of each owner's answer times relative to the usual time of that kind of work; refusals for lack of capacity and missing answers count as slow. The mean fades with its age, so that an owner that gets no requests is tried again.

--- a/internal/even/bench_test.go
+++ b/internal/even/bench_test.go
@@ -13,6 +13,7 @@
 		b.Run(w.name, func(b *testing.B) {
 			for name, s := range map[string]site{
 				"89": equalSite(89), "139": equalSite(139), "89-unequal": unequalSite(89), "139-unequal": unequalSite(139),
+				"89-customers": customerSite(89), "139-customers": customerSite(139),
 			} {
 				b.Run(name, func(b *testing.B) {
 					for b.Loop() {
--- a/internal/even/even.go
+++ b/internal/even/even.go
@@ -32,6 +32,8 @@
 	Others   float64
 	Age      time.Duration
 	Reported bool
+	// Slowness is how many times the usual time it takes to answer, or 0 if this is unknown.
+	Slowness float64
 	// Capacity is how much work the candidate can run compared with the others, in any
 	// unit, or 0 if this is unknown.
 	Capacity float64
@@ -112,7 +114,7 @@
 	}
 	preferred := int(turn % n) //nolint:gosec // less than the length of a slice
 	weights := relativeCapacities(list)
-	load := estimate(list, weights)
+	load := estimate(list, weights, light)
 	b = b.with(list, weights, load, light, now)
 	c := Choice{Index: preferred, Preferred: preferred, Reason: Turn, Load: load}
 	slack := busySlack
@@ -138,16 +140,16 @@
 	if now.Sub(b.updated) < period {
 		return b
 	}
-	mean, sum, busy, reported := 0.0, 0.0, false, false
+	mean, sum, busy, known := 0.0, 0.0, false, false
 	for i, l := range load {
 		mean += l * weights[i]
 		sum += weights[i]
 		busy = busy || l >= light
-		reported = reported || list[i].Reported
+		known = known || list[i].Reported || list[i].Slowness > 0
 	}
 	mean /= sum
 	next := Balance{corrections: b.forgotten(), updated: now}
-	if !busy || !reported {
+	if !busy || !known {
 		return next
 	}
 	for i, c := range list {
@@ -207,27 +209,42 @@
 	return weights
 }
 
+// slowFactor is how many times the usual time a candidate must take to count as more than
+// lightly loaded, whatever was reported: work then waits there for as long as it runs.
+const slowFactor = 2
+
 // estimate returns the estimated work at each candidate, relative to its capacity. A report
-// is discounted towards the mean of all reports with its age. A candidate without a report
-// counts as average.
-func estimate(list []Candidate, weights []float64) []float64 {
-	reported, capacity := 0.0, 0.0
+// is discounted towards the mean of all reports with its age. Without a report the time that a
+// candidate takes tells how far it is from being more than lightly loaded. A candidate of
+// which nothing is known counts as average, or as one that takes the usual time.
+func estimate(list []Candidate, weights []float64, light float64) []float64 {
+	reported, capacity, usual := 0.0, 0.0, 0.0
 	for i, c := range list {
 		if c.Reported {
 			reported += c.Others
 			capacity += weights[i]
 		}
+		if c.Slowness > 0 {
+			usual = light / slowFactor
+		}
 	}
-	mean := 0.0
+	mean := usual
 	if capacity > 0 {
 		mean = reported / capacity
 	}
 	load := make([]float64, len(list))
 	for i, c := range list {
-		load[i] = float64(c.Own)/weights[i] + mean
-		if c.Reported {
-			load[i] += trust(c.Age) * (c.Others/weights[i] - mean)
+		others := mean
+		switch {
+		case c.Reported:
+			others += trust(c.Age) * (c.Others/weights[i] - mean)
+		case c.Slowness > 0:
+			others = usual * c.Slowness
+		}
+		if c.Slowness >= slowFactor {
+			others = max(others, usual*c.Slowness)
 		}
+		load[i] = float64(c.Own)/weights[i] + others
 	}
 	return load
 }
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -44,6 +44,8 @@
 	mu     sync.Mutex
 	owners map[string]*owner
 	closed bool
+
+	times *answerTimes
 }
 
 var _ chain.Relay = (*Client)(nil)
@@ -53,7 +55,7 @@
 	if options.Balances == nil {
 		options.Balances = even.NewBalances()
 	}
-	c := &Client{options: options, owners: make(map[string]*owner)}
+	c := &Client{options: options, owners: make(map[string]*owner), times: newAnswerTimes()}
 	return c, c.close
 }
 
@@ -80,6 +82,7 @@
 		if o := c.owner(host); o != nil {
 			candidate := o.candidate()
 			candidate.Substitute = substitutes
+			candidate.Slowness = c.times.slowness(host, time.Now())
 			if c.options.Load != nil {
 				candidate.Reported, candidate.ReportAge, candidate.HasReport = c.options.Load(host)
 			}
@@ -123,7 +126,7 @@
 			if o != nil {
 				o.close()
 			}
-			o = &owner{host: h}
+			o = &owner{host: h, times: c.times}
 			c.owners[name] = o
 		}
 		return o
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -94,9 +94,11 @@
 		if o.Number != c.number {
 			return fault.New(fault.Severed, "relay", "proxy %s answered job %d instead of job %d", c.owner.host.Name, o.Number, c.number)
 		}
+		c.owner.times.record(c.owner.host.Name, r, sent, o)
 		return c.complete(r, x, o)
 	case <-ctx.Done():
 		c.owner.recordFailure()
+		c.owner.times.unanswered(c.owner.host.Name)
 		return fault.Wrap(ctx.Err(), fault.Severed, "relay", "proxy %s did not answer before the deadline", c.owner.host.Name)
 	}
 }
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -34,6 +34,8 @@
 	Reported  float64
 	ReportAge time.Duration
 	HasReport bool
+	// Slowness is how many times the usual time its answers take, or 0 if this is unknown.
+	Slowness float64
 	// Capacity is the processor time of its host in cores, or 0 if it is unknown.
 	Capacity float64
 }
@@ -105,7 +107,8 @@
 	loads := make([]even.Candidate, len(equal))
 	for i, c := range equal {
 		loads[i] = even.Candidate{
-			Name: c.Host, Own: c.InFlight, Others: max(c.Reported-float64(c.InFlight), 0), Age: c.ReportAge, Reported: c.HasReport, Capacity: c.Capacity,
+			Name: c.Host, Own: c.InFlight, Others: max(c.Reported-float64(c.InFlight), 0), Age: c.ReportAge, Reported: c.HasReport,
+			Slowness: c.Slowness, Capacity: c.Capacity,
 		}
 	}
 	draw := even.Mix(uint64(now.UnixNano()) ^ even.Mix(turn))                                   //nolint:gosec // only the bits matter
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -26,7 +26,8 @@
 
 // owner is a proxy that serves databases, with the connections to it.
 type owner struct {
-	host book.Host
+	host  book.Host
+	times *answerTimes
 
 	mu   sync.Mutex
 	idle []*ownerConn
