Add poplarrouter explain -settings, which tells where a request would go now

Cause: an operator cannot see why a request goes to an owner or member before it is sent. Change: GET /explain on the operator address, protected like /status, and the command with -settings list owners and members in order, with load, age of information, what ruled each out, or the refusal. Nothing is sent and no state changes.

--- a/cmd/poplarrouter/explain.go
+++ b/cmd/poplarrouter/explain.go
@@ -13,12 +13,19 @@
 )
 
 func explainCommand() *cli.Command {
+	var q routeQuestion
 	return &cli.Command{
 		CommandName: "explain",
-		Summary:     "show the way of one request over all hosts",
+		Summary:     "show the way of one request over all hosts, or where one would go now",
 		Text: "poplarrouter explain REQUEST-ID [LOG...]\n  Reads the logs of hosts, or standard input, and prints the lines of a request in\n" +
-			"  order of time: who took it, where it was relayed, what decided, and its outcome.",
-		Run: func(_ context.Context, args []string) error {
+			"  order of time: who took it, where it was relayed, what decided, and its outcome.\n" +
+			"poplarrouter explain -settings FILE [-write] [-customer NAME] [-caller NAME] [-kind KIND] [-json] SERVICE\n" +
+			"  Asks a proxy where a request would go now, and why. Nothing is sent to a member or host.",
+		Flags: q.flags,
+		Run: func(ctx context.Context, args []string) error {
+			if q.settings != "" {
+				return q.run(ctx, os.Stdout, args)
+			}
 			if len(args) == 0 {
 				return &cli.UsageError{Detail: "want the ID of a request"}
 			}
--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -224,8 +224,8 @@
 	return quota.New(size, quota.MinimumShares(slots.DefaultMinimumShares().Share))
 }
 
-func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer) chain.Handler {
-	return chain.New(chain.Options{
+func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer) (chain.Handler, *chain.Explainer) {
+	options := chain.Options{
 		Controllers:     controllers,
 		Documents:       documents,
 		Log:             log,
@@ -243,7 +243,8 @@
 		Permits:         p.permits(leases),
 		Balances:        newMemberBalances(registry, p),
 		Relay:           p.relay,
-	})
+	}
+	return chain.New(options), chain.NewExplainer(options)
 }
 
 // drainer reports to the chain whether the front is draining, because the front is
--- a/internal/app/oper.go
+++ b/internal/app/oper.go
@@ -15,6 +15,7 @@
 	"go.uber.org/fx"
 
 	"poplarrouter.example/poplarrouter/internal/book"
+	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/config"
 	"poplarrouter.example/poplarrouter/internal/ctrl"
 	"poplarrouter.example/poplarrouter/internal/duty"
@@ -33,6 +34,7 @@
 	PathStatus     = "/status"
 	PathDrain      = "/drain"
 	PathSwitchover = "/switchover"
+	PathExplain    = "/explain"
 )
 
 // operator serves health, metrics, status and operators' commands over HTTP. Commands and
@@ -45,11 +47,12 @@
 	parts       *protocolParts
 	mesh        *peer.Connections
 	drainer     *drainer
+	explainer   *chain.Explainer
 	address     string
 }
 
-func newOperator(lc fx.Lifecycle, s config.Settings, documents *ctrl.Documents, controllers *ctrl.Controllers, f *front.Front, p *protocolParts, mesh *peer.Connections, registry *prometheus.Registry, d *drainer) (*operator, error) {
-	o := &operator{settings: s, documents: documents, controllers: controllers, front: f, parts: p, mesh: mesh, drainer: d}
+func newOperator(lc fx.Lifecycle, s config.Settings, documents *ctrl.Documents, controllers *ctrl.Controllers, f *front.Front, p *protocolParts, mesh *peer.Connections, registry *prometheus.Registry, d *drainer, x *chain.Explainer) (*operator, error) {
+	o := &operator{settings: s, documents: documents, controllers: controllers, front: f, parts: p, mesh: mesh, drainer: d, explainer: x}
 	listener, err := net.Listen("tcp", s.OperatorAddress)
 	if err != nil {
 		return nil, err
@@ -71,6 +74,7 @@
 	mux.HandleFunc("GET "+PathHealth, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	mux.HandleFunc("GET "+PathReady, o.ready)
 	mux.HandleFunc("GET "+PathStatus, o.authorized(o.status))
+	mux.HandleFunc("GET "+PathExplain, o.authorized(o.explain))
 	mux.HandleFunc("POST "+PathDrain, o.authorized(o.drain))
 	mux.HandleFunc("POST "+PathSwitchover, o.authorized(o.switchover))
 	return mux
@@ -200,6 +204,20 @@
 	return d
 }
 
+// explain tells where a request would go.
+func (o *operator) explain(w http.ResponseWriter, r *http.Request) {
+	query := r.URL.Query()
+	question := chain.Question{
+		Service: query.Get("Service"), Access: sheet.Access(query.Get("Access")), Caller: query.Get("Caller"), Kind: query.Get("Kind"), Customer: query.Get("Customer"),
+	}
+	if question.Access != sheet.Read && question.Access != sheet.Write {
+		http.Error(w, "want the Access read or write", http.StatusBadRequest)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(o.explainer.Explain(question, time.Now()))
+}
+
 // drain starts a drain of the proxy and answers without waiting for its end.
 func (o *operator) drain(w http.ResponseWriter, _ *http.Request) {
 	o.drainer.request()
--- a/internal/chain/even.go
+++ b/internal/chain/even.go
@@ -28,16 +28,22 @@
 	return max(sum/float64(len(list))/2, minLightLoad)
 }
 
-// chooseMember selects one of several members that are equally suitable for a read.
-func (f *filters) chooseMember(w ReadRequirement, equal []view.Member) (int, even.Reason) {
+// loads returns what is known of the load of members.
+func (f *filters) loads(database string, members []view.Member) []even.Candidate {
 	loads, known := f.Permits.(MemberLoads)
-	list := make([]even.Candidate, len(equal))
-	for i, m := range equal {
+	list := make([]even.Candidate, len(members))
+	for i, m := range members {
 		if known {
-			list[i] = loads.MemberLoad(w.Database, m)
+			list[i] = loads.MemberLoad(database, m)
 		}
 		list[i].Name = m.Name
 	}
+	return list
+}
+
+// chooseMember selects one of several members that are equally suitable for a read.
+func (f *filters) chooseMember(w ReadRequirement, equal []view.Member) (int, even.Reason) {
+	list := f.loads(w.Database, equal)
 	draw := even.Mix(uint64(w.Arrived.UnixNano()) ^ even.Mix(w.Rotation)) //nolint:gosec // only the bits matter
 	choice := f.Balances.Choose(w.Database, list, w.Rotation, draw, lightLoad(list), time.Now())
 	return choice.Index, choice.Reason
--- a/internal/even/balances.go
+++ b/internal/even/balances.go
@@ -28,6 +28,14 @@
 	return choice
 }
 
+// Peek returns the choice that Choose would make, and changes nothing.
+func (b *Balances) Peek(set string, list []Candidate, turn, draw uint64, light float64, now time.Time) Choice {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	choice, _ := b.states[set].Choose(list, turn, draw, light, now)
+	return choice
+}
+
 // Count returns how many choices a rule has decided.
 func (b *Balances) Count(r Reason) int {
 	b.mu.Lock()
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -61,13 +61,14 @@
 
 // Route implements chain.Relay.
 func (c *Client) Route(database string, turn uint64) []string {
-	ownerHosts, local := c.options.Owners(database)
+	list, local := c.all(database)
 	if local {
 		return nil
 	}
-	list := c.candidates(ownerHosts, false)
-	list = append(list, c.candidates(c.options.Substitutes(database), true)...)
-	order := orderCandidates(c.options.Balances, database, list, c.options.Region, turn, time.Now())
+	choose := func(list []even.Candidate, turn, draw uint64, light float64, now time.Time) even.Choice {
+		return c.options.Balances.Choose(database, list, turn, draw, light, now)
+	}
+	order := orderCandidates(choose, list, c.options.Region, turn, time.Now())
 	if i := slices.Index(order, c.options.Host); i >= 0 {
 		// This host is a substitute: it serves the request itself once the proxies before
 		// it have been tried.
@@ -76,6 +77,13 @@
 	return order
 }
 
+// all returns the owners and substitutes of a database, and whether this host is an owner.
+func (c *Client) all(database string) (list []Candidate, local bool) {
+	ownerHosts, local := c.options.Owners(database)
+	list = c.candidates(ownerHosts, false)
+	return append(list, c.candidates(c.options.Substitutes(database), true)...), local
+}
+
 func (c *Client) candidates(hosts []string, substitutes bool) []Candidate {
 	list := make([]Candidate, 0, len(hosts))
 	for _, host := range hosts {
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -55,11 +55,18 @@
 // are best by these criteria the turn selects the first one, unless it is clearly busier
 // for its capacity than another one. The others follow by their jobs in flight.
 func OrderCandidates(list []Candidate, region string, turn uint64, now time.Time) []string {
-	return orderCandidates(even.NewBalances(), "", list, region, turn, now)
+	choose := func(list []even.Candidate, turn, draw uint64, light float64, now time.Time) even.Choice {
+		choice, _ := even.Balance{}.Choose(list, turn, draw, light, now)
+		return choice
+	}
+	return orderCandidates(choose, list, region, turn, now)
 }
 
-// orderCandidates is OrderCandidates with what this proxy has learnt of a database's owners.
-func orderCandidates(b *even.Balances, database string, list []Candidate, region string, turn uint64, now time.Time) []string {
+// chooser chooses one of several equal candidates, as even.Balances does.
+type chooser func(list []even.Candidate, turn, draw uint64, light float64, now time.Time) even.Choice
+
+// orderCandidates is OrderCandidates with the given chooser.
+func orderCandidates(choose chooser, list []Candidate, region string, turn uint64, now time.Time) []string {
 	if len(list) == 0 {
 		return nil
 	}
@@ -69,7 +76,7 @@
 			best = c
 		}
 	}
-	first := chooseEqual(b, database, best, list, region, turn, now)
+	first := chooseEqual(choose, best, list, region, turn, now)
 	start := turn % uint64(len(list))
 	order := slices.Concat(list[start:], list[:start])
 	slices.SortStableFunc(order, func(a, b Candidate) int {
@@ -88,7 +95,7 @@
 // candidate. A turn keeps its host while others enter or leave a backoff: it selects one of
 // all candidates with the role and region of the best, and only if that one is at present
 // not as good another one.
-func chooseEqual(b *even.Balances, database string, best Candidate, list []Candidate, region string, turn uint64, now time.Time) string {
+func chooseEqual(choose chooser, best Candidate, list []Candidate, region string, turn uint64, now time.Time) string {
 	var equal []Candidate
 	var similar []string
 	for _, c := range list {
@@ -111,8 +118,8 @@
 			Slowness: c.Slowness, Capacity: c.Capacity,
 		}
 	}
-	draw := even.Mix(uint64(now.UnixNano()) ^ even.Mix(turn))                                   //nolint:gosec // only the bits matter
-	return equal[b.Choose(database, loads, uint64(preferred), draw, lightLoad, now).Index].Host //nolint:gosec // an index
+	draw := even.Mix(uint64(now.UnixNano()) ^ even.Mix(turn))                       //nolint:gosec // only the bits matter
+	return equal[choose(loads, uint64(preferred), draw, lightLoad, now).Index].Host //nolint:gosec // an index
 }
 
 // penalty returns a number that orders candidates by what is known of their state, and by
