--- a/internal/app/app.go
+++ b/internal/app/app.go
@@ -229,8 +229,8 @@
 	return quota.New(size, quota.MinimumShares(slots.DefaultMinimumShares().Share))
 }
 
-func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer, k keyRecency, limiter *limit.Limiter) chain.Handler {
-	return chain.New(chain.Options{
+func newHandler(s config.Settings, registry *prometheus.Registry, controllers *ctrl.Controllers, documents *ctrl.Documents, log *event.Log, g *guard.Guard, p *protocolParts, leases *gate.LeaseManager, d *drainer, k keyRecency, limiter *limit.Limiter) (chain.Handler, *chain.Explainer) {
+	options := chain.Options{
 		Controllers:     controllers,
 		Documents:       documents,
 		Log:             log,
@@ -250,7 +250,8 @@
 		Relay:           p.relay,
 		Caps:            limiter,
 		Keys:            k.keys(),
-	})
+	}
+	return chain.New(options), chain.NewExplainer(options)
 }
 
 // drainer reports to the chain whether the front is draining, because the front is
--- a/internal/relay/client.go
+++ b/internal/relay/client.go
@@ -49,6 +49,8 @@
 	mu     sync.Mutex
 	owners map[string]*owner
 	closed bool
+
+	times *answerTimes
 }
 
 var _ chain.Relay = (*Client)(nil)
@@ -61,19 +63,20 @@
 	if options.Balances == nil {
 		options.Balances = even.NewBalances()
 	}
-	c := &Client{options: options, owners: make(map[string]*owner)}
+	c := &Client{options: options, owners: make(map[string]*owner), times: newAnswerTimes()}
 	return c, c.close
 }
 
 // Route implements chain.Relay.
 func (c *Client) Route(database string, turn uint64) []string {
-	ownerHosts, local := c.options.Owners(database)
+	list, local := c.all(database)
 	if local {
 		return nil
 	}
-	list := c.candidates(ownerHosts, false)
-	list = append(list, c.candidates(c.options.Substitutes(database), true)...)
-	order := orderCandidates(c.options.Balances, database, list, c.options.Region, turn, time.Now())
+	choose := func(list []even.Candidate, turn, draw uint64, light float64, now time.Time) even.Choice {
+		return c.options.Balances.Choose(database, list, turn, draw, light, now)
+	}
+	order := orderCandidates(choose, list, c.options.Region, turn, time.Now())
 	if i := slices.Index(order, c.options.Host); i >= 0 {
 		// This host is a substitute: it serves the request itself once the proxies before
 		// it have been tried.
@@ -82,12 +85,20 @@
 	return order
 }
 
+// all returns the owners and substitutes of a database, and whether this host is an owner.
+func (c *Client) all(database string) (list []Candidate, local bool) {
+	ownerHosts, local := c.options.Owners(database)
+	list = c.candidates(ownerHosts, false)
+	return append(list, c.candidates(c.options.Substitutes(database), true)...), local
+}
+
 func (c *Client) candidates(hosts []string, substitutes bool) []Candidate {
 	list := make([]Candidate, 0, len(hosts))
 	for _, host := range hosts {
 		if o := c.owner(host); o != nil {
 			candidate := o.candidate()
 			candidate.Substitute = substitutes
+			candidate.Slowness = c.times.slowness(host, time.Now())
 			if c.options.Load != nil {
 				candidate.Reported, candidate.ReportAge, candidate.HasReport = c.options.Load(host)
 			}
@@ -131,7 +142,7 @@
 			if o != nil {
 				o.close()
 			}
-			o = &owner{host: h, sheetSerial: c.options.SheetSerial, memory: c.options.Memory}
+			o = &owner{host: h, sheetSerial: c.options.SheetSerial, memory: c.options.Memory, times: c.times}
 			c.owners[name] = o
 		}
 		return o
--- a/internal/relay/order.go
+++ b/internal/relay/order.go
@@ -34,6 +34,8 @@
 	Reported  float64
 	ReportAge time.Duration
 	HasReport bool
+	// Slowness is how many times the usual time its answers take, or 0 if this is unknown.
+	Slowness float64
 	// Capacity is the processor time of its host in cores, or 0 if it is unknown.
 	Capacity float64
 }
@@ -53,11 +55,18 @@
 // are best by these criteria the turn selects the first one, unless it is clearly busier
 // for its capacity than another one. The others follow by their jobs in flight.
 func OrderCandidates(list []Candidate, region string, turn uint64, now time.Time) []string {
-	return orderCandidates(even.NewBalances(), "", list, region, turn, now)
+	choose := func(list []even.Candidate, turn, draw uint64, light float64, now time.Time) even.Choice {
+		choice, _ := even.Balance{}.Choose(list, turn, draw, light, now)
+		return choice
+	}
+	return orderCandidates(choose, list, region, turn, now)
 }
 
-// orderCandidates is OrderCandidates with what this proxy has learnt of a database's owners.
-func orderCandidates(b *even.Balances, database string, list []Candidate, region string, turn uint64, now time.Time) []string {
+// chooser chooses one of several equal candidates, as even.Balances does.
+type chooser func(list []even.Candidate, turn, draw uint64, light float64, now time.Time) even.Choice
+
+// orderCandidates is OrderCandidates with the given chooser.
+func orderCandidates(choose chooser, list []Candidate, region string, turn uint64, now time.Time) []string {
 	if len(list) == 0 {
 		return nil
 	}
@@ -67,7 +76,7 @@
 			best = c
 		}
 	}
-	first := chooseEqual(b, database, best, list, region, turn, now)
+	first := chooseEqual(choose, best, list, region, turn, now)
 	start := turn % uint64(len(list))
 	order := slices.Concat(list[start:], list[:start])
 	slices.SortStableFunc(order, func(a, b Candidate) int {
@@ -86,7 +95,7 @@
 // candidate. A turn keeps its host while others enter or leave a backoff: it selects one of
 // all candidates with the role and region of the best, and only if that one is at present
 // not as good another one.
-func chooseEqual(b *even.Balances, database string, best Candidate, list []Candidate, region string, turn uint64, now time.Time) string {
+func chooseEqual(choose chooser, best Candidate, list []Candidate, region string, turn uint64, now time.Time) string {
 	var equal []Candidate
 	var similar []string
 	for _, c := range list {
@@ -105,11 +114,12 @@
 	loads := make([]even.Candidate, len(equal))
 	for i, c := range equal {
 		loads[i] = even.Candidate{
-			Name: c.Host, Own: c.InFlight, Others: max(c.Reported-float64(c.InFlight), 0), Age: c.ReportAge, Reported: c.HasReport, Capacity: c.Capacity,
+			Name: c.Host, Own: c.InFlight, Others: max(c.Reported-float64(c.InFlight), 0), Age: c.ReportAge, Reported: c.HasReport,
+			Slowness: c.Slowness, Capacity: c.Capacity,
 		}
 	}
-	draw := even.Mix(uint64(now.UnixNano()) ^ even.Mix(turn))                                   //nolint:gosec // only the bits matter
-	return equal[b.Choose(database, loads, uint64(preferred), draw, lightLoad, now).Index].Host //nolint:gosec // an index
+	draw := even.Mix(uint64(now.UnixNano()) ^ even.Mix(turn))                       //nolint:gosec // only the bits matter
+	return equal[choose(loads, uint64(preferred), draw, lightLoad, now).Index].Host //nolint:gosec // an index
 }
 
 // penalty returns a number that orders candidates by what is known of their state, and by
--- a/internal/relay/owner.go
+++ b/internal/relay/owner.go
@@ -32,6 +32,7 @@
 	sheetSerial func() uint64
 	// memory accounts for the answers that are being received.
 	memory *budget.Budget
+	times  *answerTimes
 
 	mu   sync.Mutex
 	idle []*ownerConn
