--- a/internal/usage/bucket.go
+++ b/internal/usage/bucket.go
@@ -45,7 +45,8 @@
 }
 
 // take grants tokens for n operations, of which again were already requested earlier. It
-// reports whether the customer asks for more than its cap. The bucket must be up to date.
+// reports whether the customer asks for more than the given share of its cap. The bucket must
+// be up to date.
 func (b *bucket) take(now time.Duration, n, again uint32, share float64) (granted uint32, beyond bool) {
 	demand := b.demand.add(now, demandPeriod, float64(n-min(n, again)))
 	permitted := share * b.rate * demandPeriod.Seconds()
@@ -66,6 +67,6 @@
 // reserve is the level below which tokens are divided in proportion while the customer asks
 // for more than its cap.
 func (b *bucket) reserve(share float64) float64 {
-	const period, part = 0.2, 0.25
+	const period, part = 0.05, 0.1
 	return share * min(b.rate*period, b.capacity*part)
 }
--- a/internal/usage/coord.go
+++ b/internal/usage/coord.go
@@ -18,6 +18,11 @@
 // repeated asks are recognized.
 const forgetTime = 10 * DelegationTime
 
+// settleTime is the time within which all hosts delegate to a new coordinator, and it has
+// granted the operations that waited meanwhile. Until then it judges demand against the whole
+// cap, so that operations wait for the other hosts' parts.
+const settleTime = 3 * DelegationTime
+
 // Coordinator grants tokens of the partitions for which hosts have delegated their parts of
 // the caps to it.
 type Coordinator struct {
@@ -34,6 +39,8 @@
 	// filled is the integral of share over time in seconds, as of updated.
 	filled  float64
 	updated time.Duration
+	// began is when the first delegation arrived after a time without any.
+	began time.Duration
 	// nextExpiry is no later than the next time at which a delegation expires or is forgotten.
 	nextExpiry time.Duration
 	buckets    map[string]*bucket
@@ -135,6 +142,9 @@
 		return 0, false
 	}
 	b.update(p.filled, p.share())
+	if now < p.began+settleTime && p.parts > 0 {
+		return b.take(now, n, again, 1)
+	}
 	return b.take(now, n, again, p.share())
 }
 
@@ -174,15 +184,17 @@
 	}
 	p.updateAll()
 	added := 0.0
+	if p.parts == 0 {
+		p.began = p.updated
+	}
 	if d.parts == 0 {
 		added = float64(parts) / whole * p.policy.initial()
 	}
 	p.parts += parts - d.parts
 	d.parts = parts
 	for _, b := range p.buckets {
-		b.level += added
+		b.level = min(b.level+added, p.share()*b.capacity)
 	}
-	p.updateAll()
 }
 
 // share returns the part of the caps that is delegated to this coordinator. It is at most 1,
--- a/internal/usage/host.go
+++ b/internal/usage/host.go
@@ -192,7 +192,6 @@
 	if !found {
 		return nil
 	}
-	inTime := now < asked.sent+h.policy.TokenLife()
 	var outcomes []Outcome
 	for _, name := range asked.customers {
 		c, known := h.counters[g.Partition][name]
@@ -203,9 +202,8 @@
 		if beyond {
 			c.beyondUntil = now + beyondTime
 		}
-		if inTime {
-			c.add(g.Tokens[name], asked.sent+h.policy.TokenLife())
-		}
+		// Tokens that arrive too late have expired.
+		c.add(g.Tokens[name], asked.sent+h.policy.TokenLife())
 		c.retryAt = now + retryTime
 		outcomes = append(outcomes, c.settle(now, g.ID, beyond)...)
 	}
