Count grants of usage caps in sliding windows

Cause: a token bucket of the customer's rate and burst refuses operations that the limit of a window permits. Change: the coordinator keeps the grants of the last 5.6 s by slots of 0.1 s, divided by the share that was delegated, and grants what a window permits. A delegation of unknown use counts as used up, so that a new coordinator may grant the remainder of a window from then on. A customer counts as beyond its cap only if not all that it asks for can be granted.

--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -75,7 +75,7 @@
 	}
 	now := l.clock.now()
 	l.host = usage.NewHost(o.Policy, usage.Peer{Name: o.Host, Region: o.Region}, rand.Uint32(), now) //nolint:gosec // distinguishes processes
-	l.coordinator = usage.NewCoordinator(o.Policy, now)
+	l.coordinator = usage.NewCoordinator(o.Policy)
 	return l, duty.Run(l.run)
 }
 
--- a/internal/usage/bucket.go
+++ b/internal/usage/bucket.go
@@ -17,56 +17,72 @@
 // in a row.
 const demandAllowance = 3
 
-// bucket is the token bucket of one customer at a coordinator.
+// bucket is the account of one customer at a coordinator.
 type bucket struct {
-	rate     float64
-	capacity float64
-	level    float64
-	// filled is the reading of pool.filled up to which level includes the customer's rate.
-	filled float64
+	rate      float64
+	allowance allowance
+	granted   ledger
+	// sustained is the number of operations a second that can be granted for ever, and initial
+	// the number that can be granted as soon as the whole cap is delegated.
+	sustained float64
+	initial   float64
 	// demand counts the tokens that were requested.
 	demand decaying
 	// credit is the fraction of a token that proportional division owes to the next ask.
 	credit float64
 }
 
-// update fills the bucket for the authority that the coordinator had since the last update,
-// and limits it to its present share of the capacity.
-func (b *bucket) update(filled, share float64) {
-	b.level += b.rate * (filled - b.filled)
-	b.filled = filled
-	b.level = min(b.level, share*b.capacity)
+// newBucket returns the account of a customer of whose grants nothing is known.
+func newBucket(now time.Duration, c sheet.Customer, policy Policy) *bucket {
+	b := &bucket{}
+	b.setCap(c, policy)
+	b.granted = newLedger(now, b.allowance, policy.slots())
+	return b
 }
 
-// setCap applies the customer's cap. The bucket must be up to date.
-func (b *bucket) setCap(c sheet.Customer, policy Policy, share float64) {
-	b.rate, b.capacity = c.Rate, policy.capacity(c.Burst)
-	b.level = min(b.level, share*b.capacity)
+// setCap applies the customer's cap.
+func (b *bucket) setCap(c sheet.Customer, policy Policy) {
+	b.rate, b.allowance = c.Rate, policy.allowance(c.Rate, c.Burst)
+	b.sustained, b.initial = b.allowance.sustained(policy.slots()), policy.initial()
+}
+
+// available returns the number of tokens that may be granted now.
+func (b *bucket) available(now time.Duration, share float64) float64 {
+	b.granted.advance(now)
+	return share * b.granted.room(b.allowance)
+}
+
+// join adds a host's part to the share of the cap that is delegated here.
+func (b *bucket) join(now time.Duration, share, added float64) {
+	b.granted.advance(now)
+	b.granted.mix(b.allowance, share, added, b.initial)
 }
 
 // take grants tokens for n operations, of which again were already requested earlier. It
-// reports whether the customer asks for more than the given share of its cap. The bucket must
-// be up to date.
-func (b *bucket) take(now time.Duration, n, again uint32, share float64) (granted uint32, beyond bool) {
+// reports whether the customer asks for more than the expected share of its cap.
+func (b *bucket) take(now time.Duration, n, again uint32, share, expected float64) (granted uint32, beyond bool) {
 	demand := b.demand.add(now, demandPeriod, float64(n-min(n, again)))
-	permitted := share * b.rate * demandPeriod.Seconds()
-	beyond = share > 0 && demand > permitted+demandAllowance
-	available := max(0, b.level)
-	if beyond && available-float64(n) < b.reserve(share) {
+	permitted := expected * max(b.rate, b.sustained) * demandPeriod.Seconds()
+	beyond = expected > 0 && demand > permitted+demandAllowance
+	available := b.available(now, share)
+	if beyond && available-float64(n) < b.reserve(expected) {
 		// Each ask gets the same part of what it wants, so that hosts share in proportion to
 		// their demand and not to how often they ask.
 		b.credit += float64(n) * permitted / demand
 		available = min(available, b.credit)
 	}
 	granted = min(n, uint32(min(available, math.MaxUint32)))
-	b.level -= float64(granted)
+	if granted > 0 {
+		b.granted.add(float64(granted), share)
+	}
 	b.credit = max(0, min(b.credit-float64(granted), 1))
-	return granted, beyond
+	// While all of an ask is granted, hosts need not refuse operations without asking.
+	return granted, beyond && granted < n
 }
 
-// reserve is the level below which tokens are divided in proportion while the customer asks
-// for more than its cap.
+// reserve is the number of available tokens below which they are divided in proportion while
+// the customer asks for more than its cap.
 func (b *bucket) reserve(share float64) float64 {
 	const period, part = 0.05, 0.1
-	return share * min(b.rate*period, b.capacity*part)
+	return share * min(b.sustained*period, b.allowance.burst*part)
 }
--- a/internal/usage/coord.go
+++ b/internal/usage/coord.go
@@ -1,7 +1,6 @@
 package usage
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
@@ -36,9 +35,6 @@
 	delegations map[string]*delegation
 	// parts is the sum of all valid delegations.
 	parts int64
-	// filled is the integral of share over time in seconds, as of updated.
-	filled  float64
-	updated time.Duration
 	// began is when the first delegation arrived after a time without any.
 	began time.Duration
 	// nextExpiry is no later than the next time at which a delegation expires or is forgotten.
@@ -64,24 +60,22 @@
 	return d.seen + forgetTime
 }
 
-// NewCoordinator returns a coordinator without delegations. The clock reading must be
-// unlikely to equal one of an earlier process of the host, whose tickets are void: clocks
-// start at a random reading.
-func NewCoordinator(policy Policy, now time.Duration) *Coordinator {
+// NewCoordinator returns a coordinator without delegations. Its clock must start at a random
+// reading, so that the tickets of an earlier process of the host are void.
+func NewCoordinator(policy Policy) *Coordinator {
 	c := &Coordinator{policy: policy}
 	for i := range c.pools {
-		c.pools[i] = &pool{policy: policy, delegations: make(map[string]*delegation), updated: now, nextExpiry: math.MaxInt64, buckets: make(map[string]*bucket)}
+		c.pools[i] = &pool{policy: policy, delegations: make(map[string]*delegation), nextExpiry: math.MaxInt64, buckets: make(map[string]*bucket)}
 	}
 	return c
 }
 
-// SetCustomers replaces the caps. A bucket keeps its level as far as the new cap allows; that
-// of a new customer starts empty.
+// SetCustomers replaces the caps. A bucket keeps its grants; those of a
+// new customer are unknown.
 func (c *Coordinator) SetCustomers(now time.Duration, customers []sheet.Customer) {
 	listed := make(map[string]bool, len(customers))
 	for _, p := range c.pools {
 		p.advance(now)
-		p.updateAll()
 	}
 	for _, customer := range customers {
 		if !customer.Capped() || listed[customer.Name] {
@@ -89,15 +83,11 @@
 		}
 		listed[customer.Name] = true
 		p := c.pools[PartitionOf(customer.Name)]
-		b, found := p.buckets[customer.Name]
-		if !found {
-			b = &bucket{filled: p.filled}
-			p.buckets[customer.Name] = b
-		}
-		b.setCap(customer, c.policy, p.share())
-		if !found {
-			b.level = p.share() * min(c.policy.initial(), b.capacity)
+		if b, found := p.buckets[customer.Name]; found {
+			b.setCap(customer, c.policy)
+			continue
 		}
+		p.buckets[customer.Name] = newBucket(now, customer, c.policy)
 	}
 	for _, p := range c.pools {
 		maps.DeleteFunc(p.buckets, func(name string, _ *bucket) bool { return !listed[name] })
@@ -141,11 +131,11 @@
 		// The host's sheet is newer than this one, or older.
 		return 0, false
 	}
-	b.update(p.filled, p.share())
+	expected := p.share()
 	if now < p.began+settleTime && p.parts > 0 {
-		return b.take(now, n, again, 1)
+		expected = 1
 	}
-	return b.take(now, n, again, p.share())
+	return b.take(now, n, again, p.share(), expected)
 }
 
 // accept applies the delegation of an ask. It reports false for a repeated ask and for one
@@ -157,7 +147,7 @@
 		p.delegations[host] = d
 	}
 	if d.boot != a.Boot {
-		p.setParts(d, 0)
+		p.setParts(now, d, 0)
 		d.boot, d.lastID = a.Boot, 0
 	}
 	if a.ID <= d.lastID {
@@ -171,29 +161,26 @@
 		if a.Hosts > 0 {
 			parts = whole / int64(a.Hosts)
 		}
-		p.setParts(d, parts)
+		p.setParts(now, d, parts)
 	}
 	p.nextExpiry = min(p.nextExpiry, d.end())
 	return true
 }
 
-// setParts changes a delegation. The pool must be up to date.
-func (p *pool) setParts(d *delegation, parts int64) {
-	if d.parts == parts {
-		return
-	}
-	p.updateAll()
-	added := 0.0
-	if p.parts == 0 {
-		p.began = p.updated
-	}
-	if d.parts == 0 {
-		added = float64(parts) / whole * p.policy.initial()
+// setParts changes a delegation. What an added part was used for until now is unknown.
+func (p *pool) setParts(now time.Duration, d *delegation, parts int64) {
+	share := p.share()
+	if p.parts == 0 && parts > 0 {
+		p.began = now
 	}
 	p.parts += parts - d.parts
 	d.parts = parts
+	added := p.share() - share
+	if added <= 0 {
+		return
+	}
 	for _, b := range p.buckets {
-		b.level = min(b.level+added, p.share()*b.capacity)
+		b.join(now, share, added)
 	}
 }
 
@@ -201,41 +188,19 @@
 // also while hosts count differing numbers of hosts.
 func (p *pool) share() float64 { return min(1, float64(p.parts)/whole) }
 
-func (p *pool) updateAll() {
-	for _, b := range p.buckets {
-		b.update(p.filled, p.share())
-	}
-}
-
-// advance moves the pool to a time. Delegations end exactly when they expire, however late
-// that is noticed.
+// advance ends the delegations that have expired by a time.
 func (p *pool) advance(now time.Duration) {
 	if p.nextExpiry <= now {
 		p.expire(now)
 	}
-	p.fill(now)
-}
-
-// fill accounts for the authority up to a time.
-func (p *pool) fill(until time.Duration) {
-	if until > p.updated {
-		p.filled += p.share() * (until - p.updated).Seconds()
-		p.updated = until
-	}
 }
 
 func (p *pool) expire(now time.Duration) {
-	var expired []*delegation
 	for _, d := range p.delegations {
 		if d.parts > 0 && d.expires <= now {
-			expired = append(expired, d)
+			p.setParts(now, d, 0)
 		}
 	}
-	slices.SortFunc(expired, func(a, b *delegation) int { return cmp.Compare(a.expires, b.expires) })
-	for _, d := range expired {
-		p.fill(d.expires)
-		p.setParts(d, 0)
-	}
 	p.nextExpiry = math.MaxInt64
 	for host, d := range p.delegations {
 		if d.parts == 0 && d.seen+forgetTime <= now {
@@ -281,8 +246,7 @@
 		}
 		for _, name := range slices.Sorted(maps.Keys(p.buckets)) {
 			b := p.buckets[name]
-			b.update(p.filled, p.share())
-			s.Buckets = append(s.Buckets, BucketStatus{Customer: name, Rate: b.rate, Tokens: b.level, Demand: b.demand.rate(now, demandPeriod)})
+			s.Buckets = append(s.Buckets, BucketStatus{Customer: name, Rate: b.rate, Tokens: b.available(now, p.share()), Demand: b.demand.rate(now, demandPeriod)})
 		}
 		list = append(list, s)
 	}
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -57,15 +57,6 @@
 	return max(minTokenLife, time.Duration(part*p.Overage*float64(p.Window)))
 }
 
-// capacity returns the capacity of the bucket of a customer with the given burst. Half of the
-// slack is added to it, so that small bursts do not have to fit into the burst of the cap.
-func (p Policy) capacity(burst float64) float64 { return burst + p.Slack/2 }
-
-// initial returns the tokens that a new bucket starts with. A window can contain several
-// changes of the coordinator, each at least DelegationTime after the one before, and each adds
-// this number: five of them add the other half of the slack.
-func (p Policy) initial() float64 { return p.Slack / 10 }
-
 // Ask requests tokens of a partition's coordinator and renews the delegation to it.
 type Ask struct {
 	// ID grows with each ask of a process, and Boot identifies the process.
