--- a/internal/usage/guard_test.go
+++ b/internal/usage/guard_test.go
@@ -140,6 +140,8 @@
 	h, a := askingHost(t)
 	grant := usage.Grant{ID: a.ID, Partition: a.Partition, Ticket: 1, Tokens: map[string]uint32{acme.Name: 1}}
 	g.Expect(h.Take(start, "stranger", grant)).To(BeEmpty())
+	// The answer to a repeated ask may overtake the one with the tokens.
+	g.Expect(h.Take(start, "other", usage.Grant{ID: a.ID, Partition: a.Partition})).To(BeEmpty())
 	g.Expect(h.Take(start, "other", grant)).To(HaveLen(1))
 	g.Expect(h.Take(start, "other", grant)).To(BeEmpty())
 	d, _ := h.Arrive(start, acme.Name)
--- a/internal/usage/host.go
+++ b/internal/usage/host.go
@@ -184,7 +184,7 @@
 // Take handles a grant of a host.
 func (h *Host) Take(now time.Duration, from string, g Grant) []Outcome {
 	delete(h.down, from)
-	if g.Partition >= Partitions {
+	if g.Partition >= Partitions || g.Ticket == 0 {
 		return nil
 	}
 	p := h.parts[g.Partition]
--- a/internal/usage/partition.go
+++ b/internal/usage/partition.go
@@ -98,7 +98,7 @@
 // answered records a grant and returns the ask that it answers. It reports false if there is
 // none: the grant is repeated or so late that none of its tokens can be used.
 func (p *partition) answered(now time.Duration, from string, g Grant) (request, bool) {
-	if from == p.coordinator && g.ID >= p.ticketID && g.Ticket != 0 {
+	if from == p.coordinator && g.ID >= p.ticketID {
 		p.ticket, p.ticketID, p.misses = g.Ticket, g.ID, 0
 		if g.ID == p.inFlight {
 			p.inFlight = 0
