Pass asks for tokens on where a host does not reach the coordinator

Cause: a host whose link to the coordinator failed went to the next candidate alone and got only its own 1/N of the caps there. HandleCapAsk returns whether it answers. "links between regions and hosts cut" is a further disruption of the window and authority tests.

--- a/internal/app/caps.go
+++ b/internal/app/caps.go
@@ -30,6 +30,6 @@
 
 // caps handles the frames about usage caps.
 type caps interface {
-	HandleCapAsk(host string, a peer.CapAsk) peer.CapGrant
+	HandleCapAsk(host string, a peer.CapAsk) (peer.CapGrant, bool)
 	TakeCapGrant(host string, g peer.CapGrant)
 }
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -135,11 +135,10 @@
 		answered = false
 		for _, s := range l.host.Step(now) {
 			if s.To != l.options.Host {
-				ask := peer.CapAsk(s.Ask)
-				l.options.Sender.Send(s.To, peer.Frame{CapAsk: &ask})
+				l.ask(s)
 				continue
 			}
-			l.deliver(l.host.Take(now, s.To, l.coordinator.Handle(now, s.To, s.Ask)))
+			l.deliver(l.host.Take(now, s.To, "", l.coordinator.Handle(now, s.To, s.Ask)))
 			answered = true
 		}
 	}
@@ -148,6 +147,16 @@
 	}
 }
 
+// ask sends an ask to a coordinator, or to the host that passes it on.
+func (l *Limiter) ask(s usage.Send) {
+	a := peer.CapAsk{Ask: s.Ask}
+	to := s.To
+	if s.Via != "" {
+		a.Target, to = s.To, s.Via
+	}
+	l.options.Sender.Send(to, peer.Frame{CapAsk: &a})
+}
+
 // deliver passes outcomes to the operations that wait for them.
 func (l *Limiter) deliver(outcomes []usage.Outcome) {
 	for _, o := range outcomes {
@@ -231,19 +240,42 @@
 	return fault.New(fault.OverCap, "limit usage", "customer %q has reached its cap of %g operations a second", c.Name, c.Rate)
 }
 
-// HandleCapAsk implements peer.Handler.
-func (l *Limiter) HandleCapAsk(host string, a peer.CapAsk) peer.CapGrant {
+// HandleCapAsk implements peer.Handler. An ask for another host is passed on once.
+func (l *Limiter) HandleCapAsk(host string, a peer.CapAsk) (peer.CapGrant, bool) {
+	if a.Target != "" && a.Target != l.options.Host {
+		if a.Origin == "" {
+			target := a.Target
+			a.Target, a.Origin = "", host
+			l.options.Sender.Send(target, peer.Frame{CapAsk: &a})
+		}
+		return peer.CapGrant{}, false
+	}
+	if a.Origin != "" {
+		host = a.Origin
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return peer.CapGrant(l.coordinator.Handle(l.clock.now(), host, usage.Ask(a)))
+	return peer.CapGrant{Grant: l.coordinator.Handle(l.clock.now(), host, a.Ask), Target: a.Origin}, true
 }
 
-// TakeCapGrant implements peer.Handler.
+// TakeCapGrant implements peer.Handler. A grant for another host is passed on once.
 func (l *Limiter) TakeCapGrant(host string, g peer.CapGrant) {
+	if g.Target != "" && g.Target != l.options.Host {
+		if g.Origin == "" {
+			target := g.Target
+			g.Target, g.Origin = "", host
+			l.options.Sender.Send(target, peer.Frame{CapGrant: &g})
+		}
+		return
+	}
+	via := ""
+	if g.Origin != "" {
+		host, via = g.Origin, host
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := l.clock.now()
-	l.deliver(l.host.Take(now, host, usage.Grant(g)))
+	l.deliver(l.host.Take(now, host, via, g.Grant))
 	l.send(now)
 	l.signal()
 }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -29,8 +29,10 @@
 	mu       sync.Mutex
 	limiters map[string]*limit.Limiter
 	silent   bool
-	frames   int
-	running  sync.WaitGroup
+	// cut holds the pairs of hosts without a link.
+	cut     map[[2]string]bool
+	frames  int
+	running sync.WaitGroup
 }
 
 const latency = 5 * time.Millisecond
@@ -46,15 +48,20 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.frames++
-	if s.silent {
+	if s.silent || s.cut[[2]string{s.from, to}] || s.cut[[2]string{to, s.from}] {
 		return true
 	}
 	receiver, origin := s.limiters[to], s.limiters[s.from]
 	s.running.Go(func() {
 		time.Sleep(latency)
-		g := receiver.HandleCapAsk(s.from, *f.CapAsk)
-		time.Sleep(latency)
-		origin.TakeCapGrant(to, g)
+		if f.CapGrant != nil {
+			receiver.TakeCapGrant(s.from, *f.CapGrant)
+			return
+		}
+		if g, answered := receiver.HandleCapAsk(s.from, *f.CapAsk); answered {
+			time.Sleep(latency)
+			origin.TakeCapGrant(to, g)
+		}
 	})
 	return true
 }
@@ -88,6 +95,11 @@
 	s := &site{limiters: make(map[string]*limit.Limiter)}
 	cell := duty.NewCell(documents(t, customers, hosts...))
 	log, stopLog := event.New(io.Discard)
+	// The limiters are stopped before this, so that they send no more frames.
+	t.Cleanup(func() {
+		s.running.Wait()
+		stopLog()
+	})
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, h := range hosts {
@@ -98,10 +110,6 @@
 		s.limiters[h] = limiter
 		t.Cleanup(cleanUp)
 	}
-	t.Cleanup(func() {
-		s.running.Wait()
-		stopLog()
-	})
 	return s
 }
 
@@ -173,3 +181,31 @@
 		NewWithT(t).Expect(s.sent()).To(BeZero())
 	})
 }
+
+// A host whose link to the coordinator fails must keep its part of the caps there, and get
+// tokens by way of another host.
+func TestAsksArePassedOnWhereALinkFails(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		customer := sheet.Customer{Name: "acme", Rate: 20, Burst: 10}
+		s := newSite(t, []sheet.Customer{customer}, hosts...)
+		time.Sleep(5 * time.Second)
+		coordinator := s.limiters["one"].Status([]sheet.Customer{customer}).Customers[0].Coordinator
+		host := hosts[0]
+		if host == coordinator {
+			host = hosts[1]
+		}
+		s.mu.Lock()
+		s.cut = map[[2]string]bool{{host, coordinator}: true}
+		s.mu.Unlock()
+		for range 100 {
+			time.Sleep(100 * time.Millisecond)
+			g.Expect(acquire(s.limiters[host], customer, time.Second)).To(Succeed())
+		}
+		for _, p := range s.limiters[coordinator].Status(nil).Coordinated {
+			if p.Partition == usage.PartitionOf(customer.Name) {
+				g.Expect(p.Delegations).To(Equal(len(hosts)))
+			}
+		}
+	})
+}
--- a/internal/peer/caps.go
+++ b/internal/peer/caps.go
@@ -14,10 +14,23 @@
 // CapAsk asks the coordinator of a partition for tokens of its customers. It also delegates the
 // sender's part of their usage caps to the coordinator. It is encoded as an array of compact
 // integers, because it is sent often. The order of the fields is part of the wire protocol.
-type CapAsk usage.Ask
+//
+// A host that does not reach the coordinator sends the ask to another host, which passes it on.
+type CapAsk struct {
+	usage.Ask
+	// Target is the host that the receiver passes the ask on to, or empty. Origin is the host
+	// on whose behalf the sender has passed it on, or empty.
+	Target string
+	Origin string
+}
 
 // CapGrant answers a CapAsk, and is encoded likewise.
-type CapGrant usage.Grant
+type CapGrant struct {
+	usage.Grant
+	// Target and Origin have the same meaning as those of an ask.
+	Target string
+	Origin string
+}
 
 var (
 	_ msgpack.CustomEncoder = CapAsk{}
@@ -27,8 +40,8 @@
 )
 
 const (
-	capAskFields   = 7
-	capGrantFields = 5
+	capAskFields   = 9
+	capGrantFields = 7
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -48,7 +61,10 @@
 	if err := encodeTokens(e, a.Tokens); err != nil {
 		return err
 	}
-	return encodeTokens(e, a.Again)
+	if err := encodeTokens(e, a.Again); err != nil {
+		return err
+	}
+	return e.EncodeMulti(a.Target, a.Origin)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -63,8 +79,10 @@
 	if a.Tokens, err = decodeTokens(d); err != nil {
 		return err
 	}
-	a.Again, err = decodeTokens(d)
-	return err
+	if a.Again, err = decodeTokens(d); err != nil {
+		return err
+	}
+	return d.DecodeMulti(&a.Target, &a.Origin)
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
@@ -89,7 +107,7 @@
 			return err
 		}
 	}
-	return nil
+	return e.EncodeMulti(g.Target, g.Origin)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
@@ -115,7 +133,7 @@
 		}
 		g.Beyond = append(g.Beyond, name)
 	}
-	return nil
+	return d.DecodeMulti(&g.Target, &g.Origin)
 }
 
 func encodeUints(e *msgpack.Encoder, values ...uint64) error {
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -51,9 +51,9 @@
 	// newest, or false if it has no proof. TakeProof handles the answer of a peer.
 	HandleProofQuery(q ProofQuery) (ProofAnswer, bool)
 	TakeProof(host string, a ProofAnswer)
-	// HandleCapAsk returns the tokens that are granted to a peer, and TakeCapGrant handles
-	// those that a peer granted.
-	HandleCapAsk(host string, a CapAsk) CapGrant
+	// HandleCapAsk returns the tokens that are granted to a peer, or false if the ask was passed
+	// on to another host. TakeCapGrant handles the tokens that a peer granted.
+	HandleCapAsk(host string, a CapAsk) (CapGrant, bool)
 	TakeCapGrant(host string, g CapGrant)
 	// HandleDisconnect is called when a connection that a peer had opened has ended.
 	HandleDisconnect(host string)
@@ -80,9 +80,7 @@
 type NoCaps struct{}
 
 // HandleCapAsk implements Handler.
-func (NoCaps) HandleCapAsk(_ string, a CapAsk) CapGrant {
-	return CapGrant{ID: a.ID, Partition: a.Partition}
-}
+func (NoCaps) HandleCapAsk(string, CapAsk) (CapGrant, bool) { return CapGrant{}, false }
 
 // TakeCapGrant implements Handler.
 func (NoCaps) TakeCapGrant(string, CapGrant) {}
@@ -332,8 +330,9 @@
 	case f.ProofAnswer != nil:
 		m.handler.TakeProof(host, *f.ProofAnswer)
 	case f.CapAsk != nil:
-		grant := m.handler.HandleCapAsk(host, *f.CapAsk)
-		answers.Offer(Frame{CapGrant: &grant})
+		if grant, answered := m.handler.HandleCapAsk(host, *f.CapAsk); answered {
+			answers.Offer(Frame{CapGrant: &grant})
+		}
 	case f.CapGrant != nil:
 		m.handler.TakeCapGrant(host, *f.CapGrant)
 	}
--- a/internal/usage/bench_test.go
+++ b/internal/usage/bench_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/internal/usage"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
@@ -311,14 +312,14 @@
 	from, to, c := w.nodes[host], w.nodes[0], w.load.customers[o.customer]
 	tokens := map[string]uint32{c.Name: 1}
 	id := uint64(w.now / time.Microsecond)
-	w.send(from, to, peer.Frame{CapAsk: &peer.CapAsk{ID: id, Tokens: tokens}}, func() {
+	w.send(from, to, peer.Frame{CapAsk: &peer.CapAsk{Ask: usage.Ask{ID: id, Tokens: tokens}}}, func() {
 		b := &w.buckets[o.customer]
 		b.refill(c, w.now)
 		granted := b.tokens >= 1
 		if granted {
 			b.tokens--
 		}
-		w.send(to, from, peer.Frame{CapGrant: &peer.CapGrant{ID: id, Tokens: tokens}}, func() {
+		w.send(to, from, peer.Frame{CapGrant: &peer.CapGrant{Grant: usage.Grant{ID: id, Tokens: tokens}}}, func() {
 			if granted {
 				w.load.ran(o, w.now)
 			}
--- a/internal/usage/cap_test.go
+++ b/internal/usage/cap_test.go
@@ -6,6 +6,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"poplarrouter.example/poplarrouter/internal/usage"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
@@ -114,6 +116,18 @@
 	}
 }
 
+// cutLinks cuts the links between two regions, or some single links.
+func cutLinks(f *fleet, _ *sites) {
+	salt := f.Uint64()
+	f.cut = func(a, b usage.Peer) bool {
+		if salt%3 == 0 {
+			return a.Region != b.Region && a.Region+b.Region != "northsouth" && a.Region+b.Region != "southnorth"
+		}
+		h := xxhash.Sum64String(min(a.Name, b.Name)+max(a.Name, b.Name)) ^ salt
+		return h%3 == 0
+	}
+}
+
 func freeze(f *fleet, _ *sites) {
 	for range 1 + f.IntN(4) {
 		if n := f.coordinatorNode(); !n.frozen && !n.down {
@@ -195,9 +209,10 @@
 	{"lost, late and repeated messages", disturbMessages},
 	{"hosts added and replaced", changeList},
 	{"entries of cut off hosts expire", dropCutOff},
+	{"links between regions and hosts cut", cutLinks},
 	{"caps changed", changeCaps},
 	{"all", func(f *fleet, s *sites) {
-		for _, apply := range []func(*fleet, *sites){killAndRestart, cut, freeze, disturbMessages, changeCaps} {
+		for _, apply := range []func(*fleet, *sites){killAndRestart, cut, cutLinks, freeze, disturbMessages, changeCaps} {
 			if f.IntN(3) == 0 {
 				apply(f, s)
 			}
@@ -361,3 +376,35 @@
 		}
 	}
 }
+
+// TestOperationsOutlastACutLink guards against refusing operations within the cap because the
+// hosts at which they arrive do not reach the coordinator, while a third region reaches both.
+func TestOperationsOutlastACutLink(t *testing.T) {
+	for seed := range uint64(8) {
+		customer := testCustomers()[1]
+		f := newFleet(seed, 24, []sheet.Customer{customer})
+		f.patience = 3 * time.Second
+		refused, ran, longest := 0, 0, time.Duration(0)
+		f.onRefuse = func(string, time.Duration) { refused++ }
+		f.onRun = func(_ string, arrived time.Duration) {
+			ran++
+			longest = max(longest, f.now-arrived)
+		}
+		f.runUntil(5 * time.Second)
+		coordinator := f.byName[f.nodes[0].host.Coordinator(usage.PartitionOf(customer.Name))].peer
+		i := slices.IndexFunc(f.nodes, func(n *node) bool { return n.peer.Region != coordinator.Region })
+		f.cut = func(a, b usage.Peer) bool {
+			region := f.nodes[i].peer.Region
+			return a.Region == region && b.Region == coordinator.Region || a.Region == coordinator.Region && b.Region == region
+		}
+		for at := f.now; at < 20*time.Second; at += time.Duration(2 / customer.Rate * float64(time.Second)) {
+			f.runUntil(at)
+			f.arrive(f.nodes[i], customer.Name)
+		}
+		f.runUntil(25 * time.Second)
+		t.Logf("seed %d: %d of %d refused, the longest wait was %v", seed, refused, refused+ran, longest)
+		if refused > 0 || longest > time.Second {
+			t.Errorf("seed %d: got %d refused and a wait of %v, want none and at most 1 s", seed, refused, longest)
+		}
+	}
+}
--- a/internal/usage/guard_test.go
+++ b/internal/usage/guard_test.go
@@ -139,11 +139,11 @@
 	g := NewWithT(t)
 	h, a := askingHost(t)
 	grant := usage.Grant{ID: a.ID, Partition: a.Partition, Ticket: 1, Tokens: map[string]uint32{acme.Name: 1}}
-	g.Expect(h.Take(start, "stranger", grant)).To(BeEmpty())
+	g.Expect(h.Take(start, "stranger", "", grant)).To(BeEmpty())
 	// The answer to a repeated ask may overtake the one with the tokens.
-	g.Expect(h.Take(start, "other", usage.Grant{ID: a.ID, Partition: a.Partition})).To(BeEmpty())
-	g.Expect(h.Take(start, "other", grant)).To(HaveLen(1))
-	g.Expect(h.Take(start, "other", grant)).To(BeEmpty())
+	g.Expect(h.Take(start, "other", "", usage.Grant{ID: a.ID, Partition: a.Partition})).To(BeEmpty())
+	g.Expect(h.Take(start, "other", "", grant)).To(HaveLen(1))
+	g.Expect(h.Take(start, "other", "", grant)).To(BeEmpty())
 	d, _ := h.Arrive(start, acme.Name)
 	g.Expect(d).To(Equal(usage.Wait))
 }
@@ -154,7 +154,7 @@
 	for _, arrival := range []time.Duration{policy.TokenLife() - time.Millisecond, policy.TokenLife()} {
 		h, a := askingHost(t)
 		grant := usage.Grant{ID: a.ID, Partition: a.Partition, Ticket: 1, Tokens: map[string]uint32{acme.Name: 2}}
-		outcomes := h.Take(start+arrival, "other", grant)
+		outcomes := h.Take(start+arrival, "other", "", grant)
 		if arrival < policy.TokenLife() {
 			g.Expect(outcomes).To(HaveLen(1))
 		} else {
@@ -174,10 +174,10 @@
 		grant := usage.Grant{ID: a.ID, Partition: a.Partition, Ticket: 1}
 		if beyond {
 			grant.Beyond = []string{acme.Name}
-			g.Expect(h.Take(start, "other", grant)).To(HaveLen(1))
+			g.Expect(h.Take(start, "other", "", grant)).To(HaveLen(1))
 			continue
 		}
-		g.Expect(h.Take(start, "other", grant)).To(BeEmpty())
+		g.Expect(h.Take(start, "other", "", grant)).To(BeEmpty())
 		sends := h.Step(start + 100*time.Millisecond)
 		g.Expect(sends).To(HaveLen(1))
 		g.Expect(sends[0].Ask.Again).To(HaveKeyWithValue(acme.Name, uint32(1)))
@@ -188,7 +188,7 @@
 func TestIdleCountersAreDropped(t *testing.T) {
 	g := NewWithT(t)
 	h, a := askingHost(t)
-	h.Take(start, "other", usage.Grant{ID: a.ID, Partition: a.Partition, Ticket: 1, Tokens: a.Tokens})
+	h.Take(start, "other", "", usage.Grant{ID: a.ID, Partition: a.Partition, Ticket: 1, Tokens: a.Tokens})
 	h.Step(start + time.Second)
 	g.Expect(h.Status(start + time.Second)).To(HaveLen(1))
 	h.Step(start + time.Minute)
@@ -206,7 +206,7 @@
 			if s.Ask.Ticket != 0 && s.Ask.Hosts > 0 {
 				return now - from
 			}
-			h.Take(now, s.To, usage.Grant{ID: s.Ask.ID, Partition: s.Ask.Partition, Ticket: now.Milliseconds()})
+			h.Take(now, s.To, s.Via, usage.Grant{ID: s.Ask.ID, Partition: s.Ask.Partition, Ticket: now.Milliseconds()})
 		}
 	}
 	return -1
@@ -270,7 +270,7 @@
 		odd := now/(50*time.Millisecond)%2 == 1
 		h.SetHosts(now, []usage.Peer{{Name: "self", Draining: true}, {Name: "a", Draining: odd}, {Name: "b", Draining: !odd}})
 		for _, s := range h.Step(now) {
-			h.Take(now, s.To, usage.Grant{ID: s.Ask.ID, Partition: s.Ask.Partition, Ticket: now.Milliseconds()})
+			h.Take(now, s.To, s.Via, usage.Grant{ID: s.Ask.ID, Partition: s.Ask.Partition, Ticket: now.Milliseconds()})
 			if s.Ask.Hosts > 0 && s.To != last {
 				changes++
 				last = s.To
--- a/internal/usage/host.go
+++ b/internal/usage/host.go
@@ -20,9 +20,11 @@
 	Draining bool
 }
 
-// Send is an ask and the host that it is for, which may be the sender itself.
+// Send is an ask and the host that it is for, which may be the sender itself. It is sent to the
+// host Via, which passes it on, unless Via is empty.
 type Send struct {
 	To  string
+	Via string
 	Ask Ask
 }
 
@@ -181,14 +183,14 @@
 	}
 }
 
-// Take handles a grant of a host.
-func (h *Host) Take(now time.Duration, from string, g Grant) []Outcome {
+// Take handles a grant of a host, which the host via has passed on unless it is empty.
+func (h *Host) Take(now time.Duration, from, via string, g Grant) []Outcome {
 	delete(h.down, from)
 	if g.Partition >= Partitions || g.Ticket == 0 {
 		return nil
 	}
 	p := h.parts[g.Partition]
-	asked, found := p.answered(now, from, g)
+	asked, found := p.answered(now, from, via, g)
 	if !found {
 		return nil
 	}
@@ -220,11 +222,9 @@
 		}
 		h.checkAnswer(now, p)
 		h.chooseCoordinator(now, p)
-		if name, found := h.probe(now, p); found {
-			sends = append(sends, Send{To: name, Ask: Ask{ID: h.newID(), Boot: h.boot, Partition: p.number}})
-		}
+		sends = append(sends, h.probe(now, p)...)
 		if p.coordinator != "" && h.dueAt(now, p) <= now {
-			sends = append(sends, Send{To: p.coordinator, Ask: h.ask(now, p)})
+			sends = append(sends, h.route(now, p, h.ask(now, p))...)
 		}
 	}
 	return sends
@@ -238,7 +238,7 @@
 			continue
 		}
 		if p.inFlight != 0 {
-			next = min(next, p.sent+h.timeout(p.coordinator))
+			next = min(next, p.sent+h.timeout(p))
 			continue
 		}
 		next = min(next, h.dueAt(now, p))
@@ -265,8 +265,8 @@
 	return h.lastID
 }
 
-func (h *Host) timeout(peer string) time.Duration {
-	if h.peers[peer].Region == h.self.Region {
+func (h *Host) timeout(p *partition) time.Duration {
+	if p.via == "" && h.peers[p.coordinator].Region == h.self.Region {
 		return localTimeout
 	}
 	return remoteTimeout
@@ -275,7 +275,7 @@
 // checkAnswer records that the answer to the ask in flight is missing, and that the
 // coordinator is down if several are.
 func (h *Host) checkAnswer(now time.Duration, p *partition) {
-	if p.inFlight == 0 || now < p.sent+h.timeout(p.coordinator) {
+	if p.inFlight == 0 || now < p.sent+h.timeout(p) {
 		return
 	}
 	if p.miss() {
@@ -315,21 +315,6 @@
 	}
 }
 
-// probe returns a host that precedes the coordinator, did not answer earlier, and should be
-// tried again.
-func (h *Host) probe(now time.Duration, p *partition) (string, bool) {
-	for _, name := range p.order {
-		if name == p.coordinator {
-			return "", false
-		}
-		if at, down := h.down[name]; down && at <= now {
-			h.down[name] = now + probeTime
-			return name, true
-		}
-	}
-	return "", false
-}
-
 // dueAt returns when the next ask of a partition is due, if none is in flight.
 func (h *Host) dueAt(now time.Duration, p *partition) time.Duration {
 	if p.inFlight != 0 {
--- a/internal/usage/partition.go
+++ b/internal/usage/partition.go
@@ -35,6 +35,10 @@
 	// and withdrawalID is the ID of the ask that does so, or 0.
 	withdrawing  bool
 	withdrawalID uint64
+	// via is the host that passes asks on, because the last answer came that way, or empty.
+	// directAt is when an ask is next sent directly all the same.
+	via      string
+	directAt time.Duration
 	// inFlight is the ID of the ask that awaits its answer, or 0, sent when the last ask was
 	// sent, and misses the number of answers missed in a row.
 	inFlight uint64
@@ -69,7 +73,7 @@
 	}
 	p.coordinator, p.movedAt, p.delegated = coordinator, now, false
 	p.ticket, p.ticketID, p.misses, p.inFlight = 0, 0, 0, 0
-	p.withdrawing, p.withdrawalID = false, 0
+	p.withdrawing, p.withdrawalID, p.via = false, 0, ""
 	p.sent = now - RenewInterval
 }
 
@@ -87,7 +91,7 @@
 
 // miss records a missed answer, and reports whether the coordinator is to be replaced.
 func (p *partition) miss() bool {
-	p.inFlight = 0
+	p.inFlight, p.via = 0, ""
 	p.misses++
 	if p.ticket == 0 {
 		return p.misses >= maxFirstMisses
@@ -97,11 +101,11 @@
 
 // answered records a grant and returns the ask that it answers. It reports false if there is
 // none: the grant is repeated or so late that none of its tokens can be used.
-func (p *partition) answered(now time.Duration, from string, g Grant) (request, bool) {
+func (p *partition) answered(now time.Duration, from, via string, g Grant) (request, bool) {
 	if from == p.coordinator && g.ID >= p.ticketID {
 		p.ticket, p.ticketID, p.misses = g.Ticket, g.ID, 0
 		if g.ID == p.inFlight {
-			p.inFlight = 0
+			p.inFlight, p.via = 0, via
 		}
 		if p.withdrawing && g.ID == p.withdrawalID {
 			p.delegated, p.freeAt = false, now
--- a/internal/usage/sim_test.go
+++ b/internal/usage/sim_test.go
@@ -28,7 +28,9 @@
 	customers map[string]sheet.Customer
 	// group is the part of the network that a host is in; hosts of different groups do not
 	// reach each other. lost, repeated and late are the probabilities of these faults.
-	group                map[string]int
+	group map[string]int
+	// cut reports whether the direct link between two hosts is cut.
+	cut                  func(a, b usage.Peer) bool
 	lost, repeated, late float64
 	// patience is how long operations wait for a token.
 	patience time.Duration
@@ -85,7 +87,7 @@
 func newFleet(seed uint64, hosts int, customers []sheet.Customer) *fleet {
 	f := &fleet{
 		Rand: rand.New(rand.NewPCG(seed, 1)), byName: make(map[string]*node), customers: make(map[string]sheet.Customer),
-		group: make(map[string]int), patience: time.Second, onRun: func(string, time.Duration) {}, onRefuse: func(string, time.Duration) {},
+		group: make(map[string]int), cut: func(_, _ usage.Peer) bool { return false }, patience: time.Second, onRun: func(string, time.Duration) {}, onRefuse: func(string, time.Duration) {},
 	}
 	for _, c := range customers {
 		f.customers[c.Name] = c
@@ -209,7 +211,7 @@
 		f.bytes += len(raw)
 	}
 	for copies := 1; copies > 0; copies-- {
-		if f.group[from.peer.Name] != f.group[to.peer.Name] || f.Float64() < f.lost {
+		if f.group[from.peer.Name] != f.group[to.peer.Name] || f.cut(from.peer, to.peer) || f.Float64() < f.lost {
 			continue
 		}
 		d := f.latency(from.peer, to.peer)
@@ -232,32 +234,43 @@
 			switch {
 			case !found:
 			case to == n:
-				f.settle(n, n.host.Take(f.clock(n), s.To, n.coordinator.Handle(f.clock(n), s.To, s.Ask)))
+				f.settle(n, n.host.Take(f.clock(n), s.To, "", n.coordinator.Handle(f.clock(n), s.To, s.Ask)))
 				again = true
 			default:
-				f.ask(n, to, s.Ask)
+				f.ask(n, to, f.byName[s.Via], s.Ask)
 			}
 		}
 	}
 	f.schedule(n)
 }
 
-func (f *fleet) ask(from, to *node, a usage.Ask) {
-	ask := peer.CapAsk(a)
-	boot := from.boot
-	f.send(from, to, peer.Frame{CapAsk: &ask}, func() {
+// ask sends an ask, by way of another node unless it is nil, and returns the grant likewise.
+func (f *fleet) ask(from, to, via *node, a usage.Ask) {
+	boot, name := from.boot, ""
+	if via != nil {
+		name = via.peer.Name
+	}
+	f.pass(from, via, to, peer.Frame{CapAsk: &peer.CapAsk{Ask: a}}, func() {
 		g := to.coordinator.Handle(f.clock(to), from.peer.Name, a)
-		grant := peer.CapGrant(g)
-		f.send(to, from, peer.Frame{CapGrant: &grant}, func() {
+		f.pass(to, via, from, peer.Frame{CapGrant: &peer.CapGrant{Grant: g}}, func() {
 			// A grant returns over the connection of its ask, which ends with the process.
 			if from.boot == boot {
-				f.settle(from, from.host.Take(f.clock(from), to.peer.Name, g))
+				f.settle(from, from.host.Take(f.clock(from), to.peer.Name, name, g))
 				f.step(from)
 			}
 		})
 	})
 }
 
+// pass sends a message by way of another node, unless it is nil.
+func (f *fleet) pass(from, via, to *node, frame peer.Frame, handle func()) {
+	if via == nil {
+		f.send(from, to, frame, handle)
+		return
+	}
+	f.send(from, via, frame, func() { f.send(via, to, frame, handle) })
+}
+
 func (f *fleet) schedule(n *node) {
 	at := n.host.Next(f.clock(n)) - n.base
 	if n.wake > f.now && n.wake <= at {
