Leave the route out of cap frames that are not passed on

Cause: two empty names in each frame cost 4 to 5% of its bytes. Change: Target and Origin are encoded only if one is set.

--- a/internal/peer/caps.go
+++ b/internal/peer/caps.go
@@ -40,13 +40,15 @@
 )
 
 const (
-	capAskFields   = 9
-	capGrantFields = 7
+	capAskFields   = 7
+	capGrantFields = 5
+	// routeFields are Target and Origin, which are left out if both are empty.
+	routeFields = 2
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (a CapAsk) EncodeMsgpack(e *msgpack.Encoder) error {
-	if err := e.EncodeArrayLen(capAskFields); err != nil {
+	if err := encodeLen(e, capAskFields, a.Target, a.Origin); err != nil {
 		return err
 	}
 	if err := encodeUints(e, a.ID, uint64(a.Boot), uint64(a.Partition)); err != nil {
@@ -64,30 +66,33 @@
 	if err := encodeTokens(e, a.Again); err != nil {
 		return err
 	}
-	return e.EncodeMulti(a.Target, a.Origin)
+	return encodeRoute(e, a.Target, a.Origin)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (a *CapAsk) DecodeMsgpack(d *msgpack.Decoder) error {
-	if err := decodeArray(d, capAskFields); err != nil {
+	passedOn, err := decodeLen(d, capAskFields)
+	if err != nil {
 		return err
 	}
 	if err := d.DecodeMulti(&a.ID, &a.Boot, &a.Partition, &a.Ticket, &a.Hosts); err != nil {
 		return err
 	}
-	var err error
 	if a.Tokens, err = decodeTokens(d); err != nil {
 		return err
 	}
 	if a.Again, err = decodeTokens(d); err != nil {
 		return err
 	}
-	return d.DecodeMulti(&a.Target, &a.Origin)
+	if passedOn {
+		err = d.DecodeMulti(&a.Target, &a.Origin)
+	}
+	return err
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (g CapGrant) EncodeMsgpack(e *msgpack.Encoder) error {
-	if err := e.EncodeArrayLen(capGrantFields); err != nil {
+	if err := encodeLen(e, capGrantFields, g.Target, g.Origin); err != nil {
 		return err
 	}
 	if err := encodeUints(e, g.ID, uint64(g.Partition)); err != nil {
@@ -107,18 +112,18 @@
 			return err
 		}
 	}
-	return e.EncodeMulti(g.Target, g.Origin)
+	return encodeRoute(e, g.Target, g.Origin)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (g *CapGrant) DecodeMsgpack(d *msgpack.Decoder) error {
-	if err := decodeArray(d, capGrantFields); err != nil {
+	passedOn, err := decodeLen(d, capGrantFields)
+	if err != nil {
 		return err
 	}
 	if err := d.DecodeMulti(&g.ID, &g.Partition, &g.Ticket); err != nil {
 		return err
 	}
-	var err error
 	if g.Tokens, err = decodeTokens(d); err != nil {
 		return err
 	}
@@ -133,7 +138,10 @@
 		}
 		g.Beyond = append(g.Beyond, name)
 	}
-	return d.DecodeMulti(&g.Target, &g.Origin)
+	if passedOn {
+		err = d.DecodeMulti(&g.Target, &g.Origin)
+	}
+	return err
 }
 
 func encodeUints(e *msgpack.Encoder, values ...uint64) error {
@@ -145,12 +153,28 @@
 	return nil
 }
 
-func decodeArray(d *msgpack.Decoder, want int) error {
+// encodeLen encodes the number of fields, which includes the route if there is one.
+func encodeLen(e *msgpack.Encoder, fields int, target, origin string) error {
+	if target+origin != "" {
+		fields += routeFields
+	}
+	return e.EncodeArrayLen(fields)
+}
+
+func encodeRoute(e *msgpack.Encoder, target, origin string) error {
+	if target+origin == "" {
+		return nil
+	}
+	return e.EncodeMulti(target, origin)
+}
+
+// decodeLen decodes the number of fields and reports whether they include the route.
+func decodeLen(d *msgpack.Decoder, fields int) (passedOn bool, err error) {
 	n, err := d.DecodeArrayLen()
-	if err == nil && n != want {
-		return &FrameError{Got: fmt.Sprintf("%d fields", n), Want: fmt.Sprint(want)}
+	if err == nil && n != fields && n != fields+routeFields {
+		return false, &FrameError{Got: fmt.Sprintf("%d fields", n), Want: fmt.Sprint(fields)}
 	}
-	return err
+	return n > fields, err
 }
 
 func encodeTokens(e *msgpack.Encoder, tokens map[string]uint32) error {
