Request tokens without waiting for the answer of the ask before

Cause: an operation that arrived while an ask was in flight waited for two round trips. Where work may wait only for part of a short latency objective, it would have been refused. Change: operations that arrive later go into further asks, 10 ms apart. An ask that follows an overdue answer does not renew the delegation, so that the loss of a coordinator is bridged as soon as before.

--- a/internal/usage/counter.go
+++ b/internal/usage/counter.go
@@ -113,6 +113,16 @@
 	return n, again
 }
 
+// unasked returns the number of operations whose token was not requested yet.
+func (c *counter) unasked() (n uint32) {
+	for _, w := range c.waiting {
+		if w.firstAsk == 0 {
+			n++
+		}
+	}
+	return n
+}
+
 // dueAt returns when tokens should be requested, given the time of the last ask.
 func (c *counter) dueAt(now, lastAsk time.Duration) (time.Duration, bool) {
 	due := time.Duration(math.MaxInt64)
--- a/internal/usage/host.go
+++ b/internal/usage/host.go
@@ -61,8 +61,11 @@
 	// The answer to an ask is missed after localTimeout, or remoteTimeout between regions.
 	localTimeout  = 150 * time.Millisecond
 	remoteTimeout = 300 * time.Millisecond
+	// longRoundTrip is a little longer than a round trip between distant regions.
+	longRoundTrip = 70 * time.Millisecond
 	// minAskGap is the minimum time between two asks to a coordinator, within which operations
-	// that arrive share an ask.
+	// that arrive share an ask. Waiting for the answer of the ask in flight instead saves 2 to
+	// 5% of the bytes, but makes the waits of 99 in 100 operations last up to 118 ms and not 68 ms.
 	minAskGap = 10 * time.Millisecond
 )
 
@@ -238,8 +241,7 @@
 			continue
 		}
 		if p.inFlight != 0 {
-			next = min(next, p.sent+h.timeout(p))
-			continue
+			next = min(next, p.awaitedSince+h.timeout(p))
 		}
 		next = min(next, h.dueAt(now, p))
 	}
@@ -275,7 +277,7 @@
 // checkAnswer records that the answer to the ask in flight is missing, and that the
 // coordinator is down if several are.
 func (h *Host) checkAnswer(now time.Duration, p *partition) {
-	if p.inFlight == 0 || now < p.sent+h.timeout(p) {
+	if p.inFlight == 0 || now < p.awaitedSince+h.timeout(p) {
 		return
 	}
 	if p.miss() {
@@ -315,9 +317,15 @@
 	}
 }
 
-// dueAt returns when the next ask of a partition is due, if none is in flight.
+// dueAt returns when the next ask of a partition is due. While one is in flight, that is only
+// for operations that arrived since.
 func (h *Host) dueAt(now time.Duration, p *partition) time.Duration {
 	if p.inFlight != 0 {
+		for _, c := range h.counters[p.number] {
+			if c.unasked() > 0 && p.misses == 0 {
+				return p.sent + minAskGap
+			}
+		}
 		return math.MaxInt64
 	}
 	if p.misses > 0 || p.withdrawing {
@@ -351,6 +359,9 @@
 	for _, name := range slices.Sorted(maps.Keys(h.counters[p.number])) {
 		c := h.counters[p.number][name]
 		n, again := c.wanted(now)
+		if p.inFlight != 0 {
+			n, again = c.unasked(), 0
+		}
 		if n == 0 {
 			continue
 		}
@@ -367,9 +378,10 @@
 		c.asked(a.ID)
 		record.customers = append(record.customers, name)
 	}
-	// An ask that follows a missed answer does not renew the delegation, so that it expires
-	// early if the coordinator is lost.
-	if p.ticket != 0 && p.misses == 0 && now >= p.freeAt {
+	// An ask that follows a missed or overdue answer does not renew the delegation, so that it
+	// expires early if the coordinator is lost.
+	overdue := p.misses > 0 || p.inFlight != 0 && now > p.awaitedSince+longRoundTrip
+	if p.ticket != 0 && !overdue && now >= p.freeAt {
 		a.Ticket, a.Hosts = p.ticket, h.hosts(now)
 		if p.withdrawing {
 			a.Hosts = 0
--- a/internal/usage/partition.go
+++ b/internal/usage/partition.go
@@ -39,11 +39,13 @@
 	// directAt is when an ask is next sent directly all the same.
 	via      string
 	directAt time.Duration
-	// inFlight is the ID of the ask that awaits its answer, or 0, sent when the last ask was
-	// sent, and misses the number of answers missed in a row.
-	inFlight uint64
-	sent     time.Duration
-	misses   int
+	// inFlight is the ID of the oldest ask that awaits its answer, or 0, and awaitedSince when
+	// it was sent. sent is when the last ask was sent, and misses the number of answers missed
+	// in a row.
+	inFlight     uint64
+	awaitedSince time.Duration
+	sent         time.Duration
+	misses       int
 	// requests are the asks whose tokens would still be accepted, by ID.
 	requests map[uint64]request
 }
@@ -79,7 +81,10 @@
 
 // asked records an ask to the coordinator.
 func (p *partition) asked(now time.Duration, a Ask, r request) {
-	p.inFlight, p.sent = a.ID, now
+	if p.inFlight == 0 {
+		p.inFlight, p.awaitedSince = a.ID, now
+	}
+	p.sent = now
 	p.requests[a.ID] = r
 	switch {
 	case a.Hosts > 0:
@@ -99,13 +104,24 @@
 	return p.misses >= maxMisses
 }
 
+// awaitNext records that the asks up to an ID are answered, or were overtaken by its answer.
+func (p *partition) awaitNext(answered uint64) {
+	p.inFlight = 0
+	for id, r := range p.requests {
+		if id > answered && r.to == p.coordinator && (p.inFlight == 0 || id < p.inFlight) {
+			p.inFlight, p.awaitedSince = id, r.sent
+		}
+	}
+}
+
 // answered records a grant and returns the ask that it answers. It reports false if there is
 // none: the grant is repeated or so late that none of its tokens can be used.
 func (p *partition) answered(now time.Duration, from, via string, g Grant) (request, bool) {
 	if from == p.coordinator && g.ID >= p.ticketID {
 		p.ticket, p.ticketID, p.misses = g.Ticket, g.ID, 0
-		if g.ID == p.inFlight {
-			p.inFlight, p.via = 0, via
+		if p.inFlight != 0 && g.ID >= p.inFlight {
+			p.via = via
+			p.awaitNext(g.ID)
 		}
 		if p.withdrawing && g.ID == p.withdrawalID {
 			p.delegated, p.freeAt = false, now
