--- a/internal/peer/caps.go
+++ b/internal/peer/caps.go
@@ -14,10 +14,23 @@
 // CapAsk asks the coordinator of a partition for tokens of its customers. It also delegates the
 // sender's part of their usage caps to the coordinator. It is encoded as an array of compact
 // integers, because it is sent often. The order of the fields is part of the wire protocol.
-type CapAsk usage.Ask
+//
+// A host that does not reach the coordinator sends the ask to another host, which passes it on.
+type CapAsk struct {
+	usage.Ask
+	// Target is the host that the receiver passes the ask on to, or empty. Origin is the host
+	// on whose behalf the sender has passed it on, or empty.
+	Target string
+	Origin string
+}
 
 // CapGrant answers a CapAsk, and is encoded likewise.
-type CapGrant usage.Grant
+type CapGrant struct {
+	usage.Grant
+	// Target and Origin have the same meaning as those of an ask.
+	Target string
+	Origin string
+}
 
 var (
 	_ msgpack.CustomEncoder = CapAsk{}
@@ -29,11 +42,13 @@
 const (
 	capAskFields   = 7
 	capGrantFields = 5
+	// routeFields are Target and Origin, which are left out if both are empty.
+	routeFields = 2
 )
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (a CapAsk) EncodeMsgpack(e *msgpack.Encoder) error {
-	if err := e.EncodeArrayLen(capAskFields); err != nil {
+	if err := encodeLen(e, capAskFields, a.Target, a.Origin); err != nil {
 		return err
 	}
 	if err := encodeUints(e, a.ID, uint64(a.Boot), uint64(a.Partition)); err != nil {
@@ -48,28 +63,36 @@
 	if err := encodeTokens(e, a.Tokens); err != nil {
 		return err
 	}
-	return encodeTokens(e, a.Again)
+	if err := encodeTokens(e, a.Again); err != nil {
+		return err
+	}
+	return encodeRoute(e, a.Target, a.Origin)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (a *CapAsk) DecodeMsgpack(d *msgpack.Decoder) error {
-	if err := decodeArray(d, capAskFields); err != nil {
+	passedOn, err := decodeLen(d, capAskFields)
+	if err != nil {
 		return err
 	}
 	if err := d.DecodeMulti(&a.ID, &a.Boot, &a.Partition, &a.Ticket, &a.Hosts); err != nil {
 		return err
 	}
-	var err error
 	if a.Tokens, err = decodeTokens(d); err != nil {
 		return err
 	}
-	a.Again, err = decodeTokens(d)
+	if a.Again, err = decodeTokens(d); err != nil {
+		return err
+	}
+	if passedOn {
+		err = d.DecodeMulti(&a.Target, &a.Origin)
+	}
 	return err
 }
 
 // EncodeMsgpack implements msgpack.CustomEncoder.
 func (g CapGrant) EncodeMsgpack(e *msgpack.Encoder) error {
-	if err := e.EncodeArrayLen(capGrantFields); err != nil {
+	if err := encodeLen(e, capGrantFields, g.Target, g.Origin); err != nil {
 		return err
 	}
 	if err := encodeUints(e, g.ID, uint64(g.Partition)); err != nil {
@@ -89,18 +112,18 @@
 			return err
 		}
 	}
-	return nil
+	return encodeRoute(e, g.Target, g.Origin)
 }
 
 // DecodeMsgpack implements msgpack.CustomDecoder.
 func (g *CapGrant) DecodeMsgpack(d *msgpack.Decoder) error {
-	if err := decodeArray(d, capGrantFields); err != nil {
+	passedOn, err := decodeLen(d, capGrantFields)
+	if err != nil {
 		return err
 	}
 	if err := d.DecodeMulti(&g.ID, &g.Partition, &g.Ticket); err != nil {
 		return err
 	}
-	var err error
 	if g.Tokens, err = decodeTokens(d); err != nil {
 		return err
 	}
@@ -115,7 +138,10 @@
 		}
 		g.Beyond = append(g.Beyond, name)
 	}
-	return nil
+	if passedOn {
+		err = d.DecodeMulti(&g.Target, &g.Origin)
+	}
+	return err
 }
 
 func encodeUints(e *msgpack.Encoder, values ...uint64) error {
@@ -127,12 +153,28 @@
 	return nil
 }
 
-func decodeArray(d *msgpack.Decoder, want int) error {
+// encodeLen encodes the number of fields, which includes the route if there is one.
+func encodeLen(e *msgpack.Encoder, fields int, target, origin string) error {
+	if target+origin != "" {
+		fields += routeFields
+	}
+	return e.EncodeArrayLen(fields)
+}
+
+func encodeRoute(e *msgpack.Encoder, target, origin string) error {
+	if target+origin == "" {
+		return nil
+	}
+	return e.EncodeMulti(target, origin)
+}
+
+// decodeLen decodes the number of fields and reports whether they include the route.
+func decodeLen(d *msgpack.Decoder, fields int) (passedOn bool, err error) {
 	n, err := d.DecodeArrayLen()
-	if err == nil && n != want {
-		return &FrameError{Got: fmt.Sprintf("%d fields", n), Want: fmt.Sprint(want)}
+	if err == nil && n != fields && n != fields+routeFields {
+		return false, &FrameError{Got: fmt.Sprintf("%d fields", n), Want: fmt.Sprint(fields)}
 	}
-	return err
+	return n > fields, err
 }
 
 func encodeTokens(e *msgpack.Encoder, tokens map[string]uint32) error {
--- a/internal/usage/host.go
+++ b/internal/usage/host.go
@@ -20,9 +20,11 @@
 	Draining bool
 }
 
-// Send is an ask and the host that it is for, which may be the sender itself.
+// Send is an ask and the host that it is for, which may be the sender itself. It is sent to the
+// host Via, which passes it on, unless Via is empty.
 type Send struct {
 	To  string
+	Via string
 	Ask Ask
 }
 
@@ -59,8 +61,11 @@
 	// The answer to an ask is missed after localTimeout, or remoteTimeout between regions.
 	localTimeout  = 150 * time.Millisecond
 	remoteTimeout = 300 * time.Millisecond
+	// longRoundTrip is a little longer than a round trip between distant regions.
+	longRoundTrip = 70 * time.Millisecond
 	// minAskGap is the minimum time between two asks to a coordinator, within which operations
-	// that arrive share an ask.
+	// that arrive share an ask. Waiting for the answer of the ask in flight instead saves 2 to
+	// 5% of the bytes, but makes the waits of 99 in 100 operations last up to 118 ms and not 68 ms.
 	minAskGap = 10 * time.Millisecond
 )
 
@@ -181,14 +186,14 @@
 	}
 }
 
-// Take handles a grant of a host.
-func (h *Host) Take(now time.Duration, from string, g Grant) []Outcome {
+// Take handles a grant of a host, which the host via has passed on unless it is empty.
+func (h *Host) Take(now time.Duration, from, via string, g Grant) []Outcome {
 	delete(h.down, from)
-	if g.Partition >= Partitions {
+	if g.Partition >= Partitions || g.Ticket == 0 {
 		return nil
 	}
 	p := h.parts[g.Partition]
-	asked, found := p.answered(now, from, g)
+	asked, found := p.answered(now, from, via, g)
 	if !found {
 		return nil
 	}
@@ -220,11 +225,9 @@
 		}
 		h.checkAnswer(now, p)
 		h.chooseCoordinator(now, p)
-		if name, found := h.probe(now, p); found {
-			sends = append(sends, Send{To: name, Ask: Ask{ID: h.newID(), Boot: h.boot, Partition: p.number}})
-		}
+		sends = append(sends, h.probe(now, p)...)
 		if p.coordinator != "" && h.dueAt(now, p) <= now {
-			sends = append(sends, Send{To: p.coordinator, Ask: h.ask(now, p)})
+			sends = append(sends, h.route(now, p, h.ask(now, p))...)
 		}
 	}
 	return sends
@@ -238,8 +241,7 @@
 			continue
 		}
 		if p.inFlight != 0 {
-			next = min(next, p.sent+h.timeout(p.coordinator))
-			continue
+			next = min(next, p.awaitedSince+h.timeout(p))
 		}
 		next = min(next, h.dueAt(now, p))
 	}
@@ -265,8 +267,8 @@
 	return h.lastID
 }
 
-func (h *Host) timeout(peer string) time.Duration {
-	if h.peers[peer].Region == h.self.Region {
+func (h *Host) timeout(p *partition) time.Duration {
+	if p.via == "" && h.peers[p.coordinator].Region == h.self.Region {
 		return localTimeout
 	}
 	return remoteTimeout
@@ -275,7 +277,7 @@
 // checkAnswer records that the answer to the ask in flight is missing, and that the
 // coordinator is down if several are.
 func (h *Host) checkAnswer(now time.Duration, p *partition) {
-	if p.inFlight == 0 || now < p.sent+h.timeout(p.coordinator) {
+	if p.inFlight == 0 || now < p.awaitedSince+h.timeout(p) {
 		return
 	}
 	if p.miss() {
@@ -315,24 +317,15 @@
 	}
 }
 
-// probe returns a host that precedes the coordinator, did not answer earlier, and should be
-// tried again.
-func (h *Host) probe(now time.Duration, p *partition) (string, bool) {
-	for _, name := range p.order {
-		if name == p.coordinator {
-			return "", false
-		}
-		if at, down := h.down[name]; down && at <= now {
-			h.down[name] = now + probeTime
-			return name, true
-		}
-	}
-	return "", false
-}
-
-// dueAt returns when the next ask of a partition is due, if none is in flight.
+// dueAt returns when the next ask of a partition is due. While one is in flight, that is only
+// for operations that arrived since.
 func (h *Host) dueAt(now time.Duration, p *partition) time.Duration {
 	if p.inFlight != 0 {
+		for _, c := range h.counters[p.number] {
+			if c.unasked() > 0 && p.misses == 0 {
+				return p.sent + minAskGap
+			}
+		}
 		return math.MaxInt64
 	}
 	if p.misses > 0 || p.withdrawing {
@@ -366,6 +359,9 @@
 	for _, name := range slices.Sorted(maps.Keys(h.counters[p.number])) {
 		c := h.counters[p.number][name]
 		n, again := c.wanted(now)
+		if p.inFlight != 0 {
+			n, again = c.unasked(), 0
+		}
 		if n == 0 {
 			continue
 		}
@@ -382,9 +378,10 @@
 		c.asked(a.ID)
 		record.customers = append(record.customers, name)
 	}
-	// An ask that follows a missed answer does not renew the delegation, so that it expires
-	// early if the coordinator is lost.
-	if p.ticket != 0 && p.misses == 0 && now >= p.freeAt {
+	// An ask that follows a missed or overdue answer does not renew the delegation, so that it
+	// expires early if the coordinator is lost.
+	overdue := p.misses > 0 || p.inFlight != 0 && now > p.awaitedSince+longRoundTrip
+	if p.ticket != 0 && !overdue && now >= p.freeAt {
 		a.Ticket, a.Hosts = p.ticket, h.hosts(now)
 		if p.withdrawing {
 			a.Hosts = 0
