--- a/internal/ctrl/recency_test.go
+++ b/internal/ctrl/recency_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -19,6 +20,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/labkv"
+	"poplarrouter.example/poplarrouter/internal/pick"
 	"poplarrouter.example/poplarrouter/internal/recent"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
@@ -34,8 +36,12 @@
 	slept     atomic.Int64
 	// unwatched is set while watches of the store wait in vain.
 	unwatched atomic.Bool
-	confirms  atomic.Int64
-	serial    uint64
+	// slow is how long the answer to a confirmation takes to arrive.
+	slow atomic.Int64
+	// queried receives a value when a query is sent, if it is not nil. The sender is blocked
+	// until then, or until unblocked is closed.
+	queried, unblocked chan struct{}
+	serial             uint64
 }
 
 func (h *recencyHost) Write(p []byte) (int, error) {
@@ -62,12 +68,21 @@
 
 // Confirm implements store.Confirmer.
 func (h *recencyHost) Confirm(ctx context.Context, key string, seen store.Version) (store.Object, error) {
-	h.confirms.Add(1)
-	return h.Memory.Confirm(ctx, key, seen)
+	o, err := h.Memory.Confirm(ctx, key, seen)
+	time.Sleep(time.Duration(h.slow.Load()))
+	return o, err
 }
 
 // QueryProof implements ctrl.ProofPeers.
-func (*recencyHost) QueryProof(string, uint64) bool { return true }
+func (h *recencyHost) QueryProof(string, uint64) bool {
+	if h.queried != nil {
+		select {
+		case h.queried <- struct{}{}:
+		case <-h.unblocked:
+		}
+	}
+	return true
+}
 
 // load loads a sheet whose customer has the given keys.
 func (h *recencyHost) load(keys ...string) {
@@ -92,14 +107,19 @@
 func newRecencyHost(t *testing.T) *recencyHost {
 	h := &recencyHost{Memory: labkv.New()}
 	h.load("one")
+	return h.start(t, "h")
+}
+
+// start starts the host under a name.
+func (h *recencyHost) start(t *testing.T, name string) *recencyHost {
 	log, stopLog := event.New(h)
 	documents, stopDocuments := ctrl.NewDocuments(ctrl.DocumentsOptions{
-		Host: "h", Store: h, Log: log, Guard: guard.New(log, prometheus.NewRegistry(), nil), Broadcaster: noBroadcast{},
+		Host: name, Store: h, Log: log, Guard: guard.New(log, prometheus.NewRegistry(), nil), Broadcaster: noBroadcast{},
 		LastHeard: time.Now, WatchersPerRegion: 3, Retry: time.Second,
 	})
 	began := time.Now()
 	recency, stopRecency := ctrl.NewRecency(ctrl.RecencyOptions{
-		Host: "h", Rules: recent.RulesFor(testRevoke), Documents: documents, Store: h, Peers: h, Log: log,
+		Host: name, Rules: recent.RulesFor(testRevoke), Documents: documents, Store: h, Peers: h, Log: log,
 		Clock: func() time.Duration { return time.Hour + time.Since(began) + time.Duration(h.slept.Load()) },
 	})
 	h.documents, h.recency = documents, recency
@@ -194,28 +214,61 @@
 	})
 }
 
+// TestReadCountsFromTheTimeOfSending guards against a proof that appears younger than it is,
+// by the time that the store's answer took.
+func TestReadCountsFromTheTimeOfSending(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		g := NewWithT(t)
+		h := newRecencyHost(t)
+		const slow = 1500 * time.Millisecond
+		h.slow.Store(int64(slow))
+		time.Sleep(5 * time.Second)
+		for range 500 {
+			time.Sleep(20 * time.Millisecond)
+			g.Expect(h.recency.Status().Age).To(BeNumerically(">=", slow))
+		}
+	})
+}
+
 // TestSheetOfAPeerIsNotTrustedUnproven guards against a proof of one sheet that is taken for
 // another one: a sheet from before the store was restored, which a peer still holds, has a
-// greater serial and a key that was removed since.
+// greater serial and a key that was removed since. It must not be trusted even before the
+// background task learns of it.
 func TestSheetOfAPeerIsNotTrustedUnproven(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		g := NewWithT(t)
-		h := newRecencyHost(t)
-		time.Sleep(10 * time.Second)
-		g.Expect(h.recency.Recent()).To(BeTrue())
-		raw, err := json.Marshal(book.SheetDoc{Serial: 7, Rows: []sheet.Row{{Service: "s", Database: "d"}}, Customers: []sheet.Customer{{Name: "kranz", KeyDigests: []string{sheet.KeyDigest("one"), sheet.KeyDigest("removed")}}}})
+		h := &recencyHost{Memory: labkv.New(), queried: make(chan struct{}), unblocked: make(chan struct{})}
+		h.load("one")
+		hosts := book.HostsDoc{Serial: 1}
+		var names []string
+		for i := range 9 {
+			names = append(names, fmt.Sprint("h", i))
+			hosts.Hosts = append(hosts.Hosts, book.Host{Name: names[i]})
+		}
+		raw, err := json.Marshal(hosts)
 		g.Expect(err).NotTo(HaveOccurred())
-		doc, err := book.ParseDoc(book.Sheet, raw)
+		_, err = h.Put(t.Context(), string(book.Hosts), raw, "")
 		g.Expect(err).NotTo(HaveOccurred())
-		h.documents.Receive(doc, "peer")
-		for range 1000 {
-			// Whoever sees the sheet must not see it as recent, at whatever time.
-			if recent := h.recency.Recent(); h.documents.Book().Serial(book.Sheet) == 7 && recent {
-				g.Expect(h.recency.Recent()).To(BeFalse())
-			}
+		// A host that is no reader queries its peers.
+		h.start(t, pick.Order("watch/Sheet", names)[2])
+		unblock := sync.OnceFunc(func() { close(h.unblocked) })
+		t.Cleanup(unblock)
+		time.Sleep(500 * time.Millisecond)
+		for !h.recency.Recent() {
+			<-h.queried
+			synctest.Wait()
 		}
-		time.Sleep(20 * time.Second)
+		// The task waits for the first query after the read to be taken.
+		time.Sleep(2 * time.Second)
+		g.Expect(h.recency.Recent()).To(BeTrue())
+		raw, err = json.Marshal(book.SheetDoc{Serial: 7, Rows: []sheet.Row{{Service: "s", Database: "d"}}, Customers: []sheet.Customer{{Name: "kranz", KeyDigests: []string{sheet.KeyDigest("one"), sheet.KeyDigest("removed")}}}})
+		g.Expect(err).NotTo(HaveOccurred())
+		h.documents.Receive(book.Doc{Kind: book.Sheet, Serial: 7, Body: raw}, "peer")
+		synctest.Wait()
 		g.Expect(h.documents.Book().Serial(book.Sheet)).To(BeEquivalentTo(7))
 		g.Expect(h.recency.Recent()).To(BeFalse())
+		unblock()
+		time.Sleep(20 * time.Second)
+		g.Expect(h.recency.Recent()).To(BeFalse())
 	})
 }
--- a/internal/recent/plan.go
+++ b/internal/recent/plan.go
@@ -153,7 +153,7 @@
 	}
 	age := s.proofAge(now)
 	if len(s.plan.parents) > 0 && !s.plan.reader && s.failures > 0 && age > s.rules.LossAge {
-		period *= min(time.Duration(s.failures), lossFactor)
+		period <<= min(s.failures, maxDoublings)
 	}
 	if !s.everRead {
 		period, s.readAt = 0, now
@@ -189,7 +189,7 @@
 	}
 	pause := s.rules.QueryPause
 	if s.round > 0 && age > s.rules.LossAge {
-		pause *= lossFactor
+		pause *= queryFactor
 	}
 	return max(due, s.queriedAt+pause)
 }
--- a/internal/recent/rules.go
+++ b/internal/recent/rules.go
@@ -50,7 +50,10 @@
 	// maxStagger is the number of parts by which a read is delayed at most. With 5 s, the
 	// last hosts read at an age of 2.5 to 3 s, which leaves time for a second try.
 	maxStagger = 10
-	// lossFactor is the factor by which the pauses grow while the store is lost. Readers do not
-	// pause for longer, so that the others learn from them that it answers again.
-	lossFactor = 4
+	// queryFactor is the factor by which the pause between rounds of queries grows while the
+	// store is lost. That between reads doubles with each failure, up to maxDoublings times.
+	// Readers do not pause for longer, so that the others learn from them that the store
+	// answers again.
+	queryFactor  = 4
+	maxDoublings = 3
 )
--- a/internal/recent/sim_test.go
+++ b/internal/recent/sim_test.go
@@ -312,7 +312,11 @@
 	for k := range next.keys {
 		delete(h.lost, k)
 	}
-	s.on(h, time.Duration(s.rng.Int64N(int64(20*time.Millisecond))), func() {
+	lag := 20 * time.Millisecond
+	if s.faults {
+		lag = time.Second
+	}
+	s.on(h, time.Duration(s.rng.Int64N(int64(lag))), func() {
 		s.tell(h)
 	})
 }
