Notice connections for proofs that went silent

Cause: a host queries the readers of its region although they are not among the peers that receive its heartbeats. If such a connection went silent without a reset, nothing showed it, and all queries were lost until TCP gave up. Change: a query is sent with a heartbeat if none was sent over the connection for one period, so that a missing acknowledgement ends the connection.

--- a/internal/peer/ack.go
+++ b/internal/peer/ack.go
@@ -15,6 +15,18 @@
 
 	mu       sync.Mutex
 	awaiting bool
+	// sentAt is when the last heartbeat was sent.
+	sentAt time.Time
+}
+
+// due reports whether no heartbeat was sent for some time.
+func (a *ackDeadline) due(interval time.Duration) bool {
+	if a == nil {
+		return false
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return time.Since(a.sentAt) >= interval
 }
 
 // await sets the deadline, unless an earlier heartbeat is still unanswered.
@@ -24,6 +36,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.sentAt = time.Now()
 	if a.awaiting {
 		return nil
 	}
--- a/internal/peer/conn.go
+++ b/internal/peer/conn.go
@@ -155,6 +155,11 @@
 
 // sendFrame writes a frame to a stream.
 func (m *Connections) sendFrame(s stream, f Frame) error {
+	if f.ProofQuery != nil {
+		if err := m.probe(s); err != nil {
+			return err
+		}
+	}
 	if f.Heartbeat != nil {
 		if err := s.acks.await(); err != nil {
 			return err
