Log why the last read of the store for a proof failed

Cause: 611 (key-proof-expired) of a host that does not watch the store did not say what the store answered; failed reads are only counted. Change: the event has the cause of the last failed read. Result: TestKeysAreRefusedWithoutTheStore checks it, and failed before.

--- a/internal/ctrl/recency.go
+++ b/internal/ctrl/recency.go
@@ -50,11 +50,16 @@
 	changed chan struct{}
 	reads   chan time.Duration
 	counts  recencyCounts
+	// failure is that of the last read, or nil.
+	failure atomic.Pointer[readFailure]
 	report  recencyReport
 }
 
 type recencyCounts struct{ queries, reads, failedReads atomic.Uint64 }
 
+// readFailure is why a read of the store failed.
+type readFailure struct{ cause error }
+
 // NewRecency starts the background tasks and returns the recency with its clean-up function.
 func NewRecency(options RecencyOptions) (*Recency, func()) {
 	r := &Recency{options: options, changed: make(chan struct{}, 1), reads: make(chan time.Duration, 1)}
@@ -218,8 +223,10 @@
 		r.counts.reads.Add(1)
 		if err := r.confirm(ctx, &last); err != nil {
 			r.counts.failedReads.Add(1)
+			r.failure.Store(&readFailure{cause: err})
 			r.step(func(s recent.State, _ time.Duration) recent.State { return s.WithFailedRead() })
 		} else {
+			r.failure.Store(nil)
 			r.step(func(s recent.State, now time.Duration) recent.State { return s.WithRead(now, sentAt, last.sheet) })
 		}
 		r.notify()
--- a/internal/ctrl/recency_test.go
+++ b/internal/ctrl/recency_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -50,11 +51,17 @@
 	return h.log.Write(p)
 }
 
-// lines returns the number of log lines with a text.
-func (h *recencyHost) lines(text string) int {
+// lines returns the number of log lines that contain all of some texts.
+func (h *recencyHost) lines(texts ...string) int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return strings.Count(h.log.String(), text)
+	count := 0
+	for line := range strings.Lines(h.log.String()) {
+		if !slices.ContainsFunc(texts, func(text string) bool { return !strings.Contains(line, text) }) {
+			count++
+		}
+	}
+	return count
 }
 
 // Watch implements store.Store.
@@ -148,6 +155,7 @@
 		g.Expect(h.recency.Status().Age).To(BeNumerically("<", testRevoke+2100*time.Millisecond), "the last read was up to 2 s before the failure")
 		time.Sleep(time.Minute)
 		g.Expect(h.lines("key-proof-expired")).To(Equal(1))
+		g.Expect(h.lines("key-proof-expired", "the store is down")).To(Equal(1))
 		g.Expect(h.recency.Status().FailedReads).To(BeNumerically("<=", 66))
 		h.SetDown(false)
 		time.Sleep(1100 * time.Millisecond)
--- a/internal/ctrl/recencystatus.go
+++ b/internal/ctrl/recencystatus.go
@@ -76,6 +76,9 @@
 	if proof, proven := s.Proof(); proven {
 		fields["AgeMs"] = (now - proof.At).Milliseconds()
 	}
+	if failure := r.failure.Load(); failure != nil {
+		fields["Cause"] = failure.cause.Error()
+	}
 	if r.report.suppressed > 0 {
 		fields["Suppressed"] = r.report.suppressed
 	}
