Send log-in messages through the session's own writer

Cause: the backend of pgproto3, which only sent the messages of the log-in any more, kept a read buffer of 8 KB for each session. Jobs of a relay connection had a gap in their numbers after one that was too large to be encoded, on which an owner that refuses a job unread does not count.

Change: log-in messages go through wire.Writer, and a job is numbered once it was encoded.

--- a/internal/pgfrt/login.go
+++ b/internal/pgfrt/login.go
@@ -149,8 +149,8 @@
 	if err != nil {
 		return fault.Wrap(err, fault.Denied, "log in", "authentication is not available")
 	}
-	s.backend.Send(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
-	if err := s.backend.Flush(); err != nil {
+	s.out.Put(&pgproto3.AuthenticationSASL{AuthMechanisms: []string{mechanism}})
+	if err := s.out.Flush(); err != nil {
 		return err
 	}
 	return s.exchangeSCRAM(server.NewConversation())
@@ -171,8 +171,8 @@
 	if err != nil {
 		return denied(err)
 	}
-	s.backend.Send(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
-	if err := s.backend.Flush(); err != nil {
+	s.out.Put(&pgproto3.AuthenticationSASLContinue{Data: []byte(challenge)})
+	if err := s.out.Flush(); err != nil {
 		return err
 	}
 	var second pgproto3.SASLResponse
@@ -183,7 +183,7 @@
 	if err != nil || !conversation.Valid() {
 		return denied(err)
 	}
-	s.backend.Send(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
+	s.out.Put(&pgproto3.AuthenticationSASLFinal{Data: []byte(final)})
 	return nil
 }
 
@@ -231,7 +231,7 @@
 // completeLogin completes the log-in. It sends the caller its cancel key and the parameters that drivers
 // expect from a server.
 func (s *session) completeLogin() error {
-	s.backend.Send(&pgproto3.AuthenticationOk{})
+	s.out.Put(&pgproto3.AuthenticationOk{})
 	for _, status := range []pgproto3.ParameterStatus{
 		{Name: "server_version", Value: "16.0"},
 		{Name: "server_encoding", Value: "UTF8"},
@@ -241,11 +241,11 @@
 		{Name: "standard_conforming_strings", Value: "on"},
 		{Name: wire.FloorSetting, Value: s.floor.String()},
 	} {
-		s.backend.Send(&status)
+		s.out.Put(&status)
 	}
-	s.backend.Send(s.key)
-	s.backend.Send(&pgproto3.ReadyForQuery{TxStatus: wire.Idle})
-	return s.backend.Flush()
+	s.out.Put(s.key)
+	s.out.Put(&pgproto3.ReadyForQuery{TxStatus: wire.Idle})
+	return s.out.Flush()
 }
 
 // fatalResponse returns the response for an error that ends the connection.
--- a/internal/pgfrt/pgfrt.go
+++ b/internal/pgfrt/pgfrt.go
@@ -6,7 +6,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/binary"
-	"io"
 	"net"
 	"time"
 
@@ -38,7 +37,6 @@
 func (Protocol) Serve(ctx context.Context, base *front.Session) error {
 	s := &session{
 		Session: base,
-		backend: pgproto3.NewBackend(noInput{}, base.Conn),
 		out:     wire.NewWriter(base.Conn),
 		collect: wire.NewCollector(base.Options().RequestBytes),
 		key:     newKey(),
@@ -63,8 +61,6 @@
 // session is the connection of one caller.
 type session struct {
 	*front.Session
-	// backend sends the messages of the log-in. Messages are received through in.
-	backend *pgproto3.Backend
 	in      *wire.Reader
 	out     *wire.Writer
 	collect *wire.Collector
@@ -85,12 +81,6 @@
 	return nil
 }
 
-// noInput is an empty input.
-type noInput struct{}
-
-// Read implements io.Reader.
-func (noInput) Read([]byte) (int, error) { return 0, io.EOF }
-
 // serve logs the caller in and answers its requests until the connection ends.
 func (s *session) serve(ctx context.Context) error {
 	// The log-in needs a deep stack, which an idle session should not retain, so it runs as a
@@ -110,8 +100,8 @@
 	s.LogDenied(err)
 	var rejection *fault.Error
 	if errors.As(err, &rejection) {
-		s.backend.Send(fatalResponse(rejection))
-		_ = s.backend.Flush()
+		s.out.Put(fatalResponse(rejection))
+		_ = s.out.Flush()
 	}
 	return err
 }
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -86,14 +86,15 @@
 	x := r.Exchange.(*flow.Exchange) //nolint:forcetypeassert,errcheck // the protocol whose proxies relay has no others
 	row := r.Work
 	row.Secret, row.Service, row.Caller = "", "", ""
-	c.number++
 	raw, err := peer.EncodeArray(Job{
-		Number: c.number, Request: r.Name, Service: r.Caller.Service, Caller: r.Caller.Name, Waited: time.Since(r.Arrived),
+		Number: c.number + 1, Request: r.Name, Service: r.Caller.Service, Caller: r.Caller.Name, Waited: time.Since(r.Arrived),
 		Work: row, Replicated: r.Replicated, LastAttempt: r.LastAttempt, Floor: r.Floor, Payload: x.Payload(),
 	})
 	if err != nil {
 		return fault.Wrap(err, fault.Oversize, "relay", "the request is too large to be relayed")
 	}
+	// The owner relies on jobs being numbered without gaps when it refuses one unread.
+	c.number++
 	sent := c.owner.begin(time.Now())
 	defer c.owner.end(sent)
 	if err := c.send(raw); err != nil {
