--- a/internal/wire/reader_test.go
+++ b/internal/wire/reader_test.go
@@ -109,3 +109,28 @@
 		}
 	})
 }
+
+// TestPreparedStatementsOfASessionAreBounded guards against names without end, and against a
+// bound that refuses the largest statement or that does not notice closed statements.
+func TestPreparedStatementsOfASessionAreBounded(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(readerLimit)
+	text := strings.Repeat("x", readerLimit-64)
+	for i := range 3 {
+		_, err := c.Add(&pgproto3.Parse{Name: "same", Query: text})
+		g.Expect(err).NotTo(HaveOccurred(), "a statement that replaces an earlier one is prepared, turn %d", i)
+		c.Reset()
+	}
+	_, err := c.Add(&pgproto3.Parse{Name: "other", Query: text})
+	g.Expect(fault.FromError(err).Kind).To(Equal(fault.Overloaded))
+	c.Reset()
+	_, err = c.Add(&pgproto3.Close{ObjectType: 'S', Name: "same"})
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(c.StateBytes()).To(BeZero())
+	_, err = c.Add(&pgproto3.Parse{Name: "other", Query: text[:1<<10]})
+	g.Expect(err).NotTo(HaveOccurred())
+	c.Reset()
+	c.OnState(func(int) error { return errors.New("exhausted") })
+	_, err = c.Add(&pgproto3.Parse{Name: "third", Query: "SELECT 1"})
+	g.Expect(fault.FromError(err).Kind).To(Equal(fault.Overloaded))
+}
