Count grants of usage caps in slots of 50 ms

Cause: slots of 0.1 s and a burst that took half of the slack left a new coordinator less than the rate of a cap, and operations waited up to 3 s after a loss (bound 2.8 s).

--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -7,10 +7,10 @@
 
 const (
 	// slotTime is the resolution at which a ledger counts grants.
-	slotTime = 100 * time.Millisecond
+	slotTime = 50 * time.Millisecond
 	// limitPart is the part of the permitted operations that is granted. The remainder covers
 	// the resolution of ledgers, clocks that differ in speed and lists of hosts that differ.
-	limitPart = 0.97
+	limitPart = 0.98
 	// rounding keeps whole numbers of operations whole.
 	rounding = 1e-6
 	// maxBurstPart limits the part of the permitted operations of a window that may be granted
