--- a/internal/usage/coord.go
+++ b/internal/usage/coord.go
@@ -35,6 +35,9 @@
 	delegations map[string]*delegation
 	// parts is the sum of all valid delegations.
 	parts int64
+	// average is the decaying average of share over demandPeriod, as of updated.
+	average float64
+	updated time.Duration
 	// began is when the first delegation arrived after a time without any.
 	began time.Duration
 	// nextExpiry is no later than the next time at which a delegation expires or is forgotten.
@@ -131,11 +134,28 @@
 		// The host's sheet is newer than this one, or older.
 		return 0, false
 	}
-	expected := p.share()
-	if now < p.began+settleTime && p.parts > 0 {
-		expected = 1
+	return b.take(now, n, again, p.share(), p.judgedShare(now))
+}
+
+// judgedShare returns the part of the cap against which demand is judged. The demand is that of
+// the past demandPeriod, in which the share may have been greater.
+func (p *pool) judgedShare(now time.Duration) float64 {
+	switch {
+	case p.parts == 0:
+		return 0
+	case now < p.began+settleTime:
+		return 1
+	default:
+		return max(p.share(), p.average)
+	}
+}
+
+// averageTo moves the average of the share to a time.
+func (p *pool) averageTo(now time.Duration) {
+	if now > p.updated {
+		p.average = p.share() + (p.average-p.share())*math.Exp(-float64(now-p.updated)/float64(demandPeriod))
+		p.updated = now
 	}
-	return b.take(now, n, again, p.share(), expected)
 }
 
 // accept applies the delegation of an ask. It reports false for a repeated ask and for one
@@ -169,6 +189,7 @@
 
 // setParts changes a delegation. What an added part was used for until now is unknown.
 func (p *pool) setParts(now time.Duration, d *delegation, parts int64) {
+	p.averageTo(now)
 	share := p.share()
 	if p.parts == 0 && parts > 0 {
 		p.began = now
@@ -193,6 +214,7 @@
 	if p.nextExpiry <= now {
 		p.expire(now)
 	}
+	p.averageTo(now)
 }
 
 func (p *pool) expire(now time.Duration) {
