--- a/internal/usage/bucket.go
+++ b/internal/usage/bucket.go
@@ -63,9 +63,10 @@
 func (b *bucket) take(now time.Duration, n, again uint32, share, expected float64) (granted uint32, beyond bool) {
 	demand := b.demand.add(now, demandPeriod, float64(n-min(n, again)))
 	permitted := expected * max(b.rate, b.sustained) * demandPeriod.Seconds()
-	beyond = expected > 0 && demand > permitted+demandAllowance
 	available := b.available(now, share)
-	if beyond && available-float64(n) < b.reserve(expected) {
+	// While tokens are left, hosts need not refuse operations without asking.
+	beyond = expected > 0 && demand > permitted+demandAllowance && available-float64(n) < b.reserve(expected)
+	if beyond {
 		// Each ask gets the same part of what it wants, so that hosts share in proportion to
 		// their demand and not to how often they ask.
 		b.credit += float64(n) * permitted / demand
@@ -76,8 +77,7 @@
 		b.granted.add(float64(granted), share)
 	}
 	b.credit = max(0, min(b.credit-float64(granted), 1))
-	// While all of an ask is granted, hosts need not refuse operations without asking.
-	return granted, beyond && granted < n
+	return granted, beyond
 }
 
 // reserve is the number of available tokens below which they are divided in proportion while
