--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -87,7 +87,7 @@
 		s.Rollback()
 		return Outcome{Failed: true, Fault: err.Kind, Text: err.Message(), Draining: s.DrainStarted()}
 	}
-	x := job.Payload.Exchange()
+	x := job.Payload.Exchange().WithMemory(s.Memory)
 	if s.Pinned() && (!x.InTransaction() || s.Caller.Customer != job.Customer) {
 		// The transaction belongs to an earlier job, whose caller no longer uses it.
 		s.Rollback()
