--- a/internal/even/even.go
+++ b/internal/even/even.go
@@ -8,11 +8,11 @@
 //
 //   - its own work in flight there, which is always up to date, is clearly more than at
 //     another candidate;
-//   - the reports have shown more work there than at the average candidate for some time.
-//     They change the share of the work that a candidate should get by a small part in
-//     each period, less if they are old. A candidate that is not lightly loaded passes on
-//     the part of its turns that exceeds its share. Hosts that know the same reports
-//     together move that part and no more.
+//   - the reports, or without one the times of its answers, have shown more work there than
+//     at the average candidate for some time. They change the share of the work that a
+//     candidate should get by a small part in each period, less if they are old. A
+//     candidate that is not lightly loaded passes on the part of its turns that exceeds its
+//     share. Hosts that know the same reports together move that part and no more.
 //
 // The package has no clock and no random numbers. A step returns the new state.
 package even
@@ -69,8 +69,8 @@
 	// OwnWork means that this host had clearly more work at the preferred candidate than at the
 	// chosen one.
 	OwnWork Reason = "own work"
-	// Reported means that the reports showed more work at the preferred candidate than at
-	// the average one.
+	// Reported means that the reports, or the times of answers, showed more work at the
+	// preferred candidate than at the average one.
 	Reported Reason = "reported load"
 )
 
