Name the accounts of usage caps for what they are

Cause: a reviewer took buckets for token buckets, which they no longer are, and found comments on allowances and slots hard to follow. Change: bucket becomes account; comments of the package say what bounds what. No behaviour changes.

--- a/internal/usage/bucket.go
+++ b/internal/usage/account.go
@@ -17,8 +17,8 @@
 // in a row.
 const demandAllowance = 3
 
-// bucket is the account of one customer at a coordinator.
-type bucket struct {
+// account is the account of one customer at a coordinator.
+type account struct {
 	rate      float64
 	allowance allowance
 	granted   ledger
@@ -32,35 +32,35 @@
 	credit float64
 }
 
-// newBucket returns the account of a customer of whose grants nothing is known.
-func newBucket(now time.Duration, c sheet.Customer, policy Policy) *bucket {
-	b := &bucket{}
+// newAccount returns the account of a customer of whose grants nothing is known.
+func newAccount(now time.Duration, c sheet.Customer, policy Policy) *account {
+	b := &account{}
 	b.setCap(c, policy)
 	b.granted = newLedger(now, policy.slots())
 	return b
 }
 
 // setCap applies the customer's cap.
-func (b *bucket) setCap(c sheet.Customer, policy Policy) {
+func (b *account) setCap(c sheet.Customer, policy Policy) {
 	b.rate, b.allowance = c.Rate, policy.allowance(c.Rate, c.Burst)
 	b.sustained, b.initial = b.allowance.sustained(policy.slots()), policy.initial()
 }
 
 // available returns the number of tokens that may be granted now.
-func (b *bucket) available(now time.Duration, share float64) float64 {
+func (b *account) available(now time.Duration, share float64) float64 {
 	b.granted.advance(now)
 	return share * b.granted.room(b.allowance)
 }
 
 // join adds a host's part to the share of the cap that is delegated here.
-func (b *bucket) join(now time.Duration, share, added float64) {
+func (b *account) join(now time.Duration, share, added float64) {
 	b.granted.advance(now)
 	b.granted.mix(share, added, b.initial)
 }
 
 // take grants tokens for n operations, of which again were already requested earlier. It
 // reports whether the customer asks for more than the expected share of its cap.
-func (b *bucket) take(now time.Duration, n, again uint32, share, expected float64) (granted uint32, beyond bool) {
+func (b *account) take(now time.Duration, n, again uint32, share, expected float64) (granted uint32, beyond bool) {
 	demand := b.demand.add(now, demandPeriod, float64(n-min(n, again)))
 	permitted := expected * max(b.rate, b.sustained) * demandPeriod.Seconds()
 	available := b.available(now, share)
@@ -83,7 +83,7 @@
 // reserve is the number of available tokens below which they are divided in proportion while
 // the customer asks for more than its cap. With 0.05 s of the rate, hosts with few operations
 // got up to 30% more than their part.
-func (b *bucket) reserve(share float64) float64 {
+func (b *account) reserve(share float64) float64 {
 	const period, part = 0.1, 0.1
 	return share * min(b.sustained*period, b.allowance.burst*part)
 }
--- a/internal/usage/coord.go
+++ b/internal/usage/coord.go
@@ -29,7 +29,7 @@
 	pools  [Partitions]*pool
 }
 
-// pool is the authority over one partition and the buckets of its customers.
+// pool is the authority over one partition and the accounts of its customers.
 type pool struct {
 	policy      Policy
 	delegations map[string]*delegation
@@ -42,7 +42,7 @@
 	began time.Duration
 	// nextExpiry is no later than the next time at which a delegation expires or is forgotten.
 	nextExpiry time.Duration
-	buckets    map[string]*bucket
+	accounts   map[string]*account
 }
 
 // delegation is a host's part of the caps.
@@ -68,13 +68,13 @@
 func NewCoordinator(policy Policy) *Coordinator {
 	c := &Coordinator{policy: policy}
 	for i := range c.pools {
-		c.pools[i] = &pool{policy: policy, delegations: make(map[string]*delegation), nextExpiry: math.MaxInt64, buckets: make(map[string]*bucket)}
+		c.pools[i] = &pool{policy: policy, delegations: make(map[string]*delegation), nextExpiry: math.MaxInt64, accounts: make(map[string]*account)}
 	}
 	return c
 }
 
-// SetCustomers replaces the caps. A bucket keeps its grants; those of a
-// new customer are unknown.
+// SetCustomers replaces the caps. An account keeps its grants; those of a new customer are
+// unknown.
 func (c *Coordinator) SetCustomers(now time.Duration, customers []sheet.Customer) {
 	listed := make(map[string]bool, len(customers))
 	for _, p := range c.pools {
@@ -86,14 +86,14 @@
 		}
 		listed[customer.Name] = true
 		p := c.pools[PartitionOf(customer.Name)]
-		if b, found := p.buckets[customer.Name]; found {
+		if b, found := p.accounts[customer.Name]; found {
 			b.setCap(customer, c.policy)
 			continue
 		}
-		p.buckets[customer.Name] = newBucket(now, customer, c.policy)
+		p.accounts[customer.Name] = newAccount(now, customer, c.policy)
 	}
 	for _, p := range c.pools {
-		maps.DeleteFunc(p.buckets, func(name string, _ *bucket) bool { return !listed[name] })
+		maps.DeleteFunc(p.accounts, func(name string, _ *account) bool { return !listed[name] })
 	}
 }
 
@@ -129,7 +129,7 @@
 }
 
 func (p *pool) take(now time.Duration, customer string, n, again uint32) (granted uint32, beyond bool) {
-	b, found := p.buckets[customer]
+	b, found := p.accounts[customer]
 	if !found {
 		// The host's sheet is newer than this one, or older.
 		return 0, false
@@ -200,7 +200,7 @@
 	if added <= 0 {
 		return
 	}
-	for _, b := range p.buckets {
+	for _, b := range p.accounts {
 		b.join(now, share, added)
 	}
 }
@@ -233,7 +233,7 @@
 	}
 }
 
-// BucketStatus is the state of a customer's bucket at its coordinator.
+// BucketStatus is the state of a customer's account at its coordinator.
 type BucketStatus struct {
 	Customer string
 	Rate     float64
@@ -266,8 +266,8 @@
 		if s.Delegations == 0 {
 			continue
 		}
-		for _, name := range slices.Sorted(maps.Keys(p.buckets)) {
-			b := p.buckets[name]
+		for _, name := range slices.Sorted(maps.Keys(p.accounts)) {
+			b := p.accounts[name]
 			s.Buckets = append(s.Buckets, BucketStatus{Customer: name, Rate: b.rate, Tokens: b.available(now, p.share()), Demand: b.demand.rate(now, demandPeriod)})
 		}
 		list = append(list, s)
--- a/internal/usage/ledger.go
+++ b/internal/usage/ledger.go
@@ -18,9 +18,9 @@
 	maxBurstPart = 0.6
 )
 
-// allowance bounds the grants of a cap: in any time x of at most a window, at most
-// burst + x * rate. A coordinator that has just received a delegation, and does not know what
-// was granted before, may thus grant rate from that time on.
+// allowance bounds the grants of a cap in every window that ends now: at most burst + rate for
+// each slot. A coordinator that takes a delegation of unknown use as fully used can therefore
+// still grant rate from then on.
 type allowance struct {
 	// burst is a number of operations, and rate a number for each slot.
 	burst, rate float64
@@ -28,7 +28,7 @@
 
 // initial returns the number of operations that a coordinator may grant as soon as all of a cap
 // is delegated to it. A window can contain five changes of the coordinator, each at least
-// DelegationTime after the one before, so that they take a quarter of the slack.
+// DelegationTime after the one before: together they grant a quarter of the slack.
 func (p Policy) initial() float64 { return p.Slack / 20 }
 
 // allowance returns that of a customer's cap. Tokens that were granted up to TokenLife before a
@@ -42,8 +42,8 @@
 }
 
 // slots returns the number of slots that contain all grants whose tokens can be used within a
-// window. The first and the last slot of a window may be incomplete, and unknown grants are
-// counted a slot early.
+// window. The first and the last slot of a window may be incomplete, and unknown grants count in
+// the slot before the current one (mix).
 func (p Policy) slots() int {
 	return int(math.Ceil(float64(p.Window+p.TokenLife())/float64(slotTime))) + 2
 }
--- a/internal/usage/usage.go
+++ b/internal/usage/usage.go
@@ -1,16 +1,17 @@
 // Package usage limits the operations of customers over all hosts together.
 //
 // Customers are hashed to a few partitions. Each partition has a coordinator, the first host
-// in weighted rendezvous order that a host considers reachable. It keeps a token bucket for
-// each customer, and hosts request from it a token for each operation. Tokens expire soon,
-// so that they cannot be saved up for a later window.
+// in weighted rendezvous order that a host considers reachable. It keeps an account
+// of the recent grants of each customer, and hosts request from it a token for each operation.
+// Tokens expire soon, so that they cannot be saved up for a later window.
 //
 // The authority to grant tokens is divided without consensus. Each of N hosts owns 1/N of
 // every cap and delegates it to one coordinator of a partition at a time, for a period that
 // the coordinator measures with its own clock: from the ticket, its clock reading in an
 // earlier answer, which the host returns. A host that changes its coordinator waits until the
-// former delegation must have expired. What all coordinators may grant together is thus
-// never more than the cap, in any partition of the network.
+// former delegation must have expired, and so does a process that has just started. What all
+// coordinators may grant together is thus never more than a window permits, in any partition of
+// the network.
 //
 // Host and Coordinator are the state machines of the two sides. They have no sockets,
 // goroutines or clocks. Times are readings of one clock of their process, which also counts
