Report statements that a member would read differently from their caller

The connection to a member now reads each line back before it is sent and asserts the invariant unaltered-statement (event 901, with the first bytes of both texts). The stand-in of the platform records the ID of each statement and the text of the prepared statement that it executed. No decision changes.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -19,6 +19,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/flow"
 	"poplarrouter.example/poplarrouter/internal/gate"
+	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
@@ -99,7 +100,7 @@
 
 // newLineParts returns the parts for members that use the line protocol of typed
 // statements.
-func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget) (*protocolParts, error) {
+func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget, g *guard.Guard) (*protocolParts, error) {
 	tokens, err := ctrl.NewTokens(mesh.Address())
 	if err != nil {
 		return nil, err
@@ -156,7 +157,7 @@
 				if err != nil {
 					return nil, err
 				}
-				return flow.NewMemberConn(memb.WithBudget(conn, memory)), nil
+				return flow.NewMemberConn(memb.WithCheck(memb.WithBudget(conn, memory), reportAltered(g, m.Name))), nil
 			},
 		})
 	}
@@ -172,6 +173,21 @@
 	return p, nil
 }
 
+// maxLoggedText is the length in bytes of the longest part of a statement that is logged.
+const maxLoggedText = 64
+
+// reportAltered returns a function that reports a statement which a member would read differently
+// from its caller.
+func reportAltered(g *guard.Guard, member string) func(q flow.Query, text string) {
+	return func(q flow.Query, text string) {
+		g.Assert(guard.UnalteredStatement, false, event.Fields{
+			"Request": q.ID, "Member": member,
+			"Got": text[:min(len(text), maxLoggedText)], "GotBytes": len(text),
+			"Want": q.Statement.Text[:min(len(q.Statement.Text), maxLoggedText)], "WantBytes": len(q.Statement.Text),
+		})
+	}
+}
+
 const (
 	// lineActivePoll is the pause between status queries to a member while requests wait.
 	// It is about the time between two commits of a database.
--- a/internal/app/ports.go
+++ b/internal/app/ports.go
@@ -16,6 +16,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/gate"
+	"poplarrouter.example/poplarrouter/internal/guard"
 	"poplarrouter.example/poplarrouter/internal/member"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
@@ -109,9 +110,9 @@
 }
 
 // newProtocolParts returns the parts for the protocol in the settings.
-func newProtocolParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget) (*protocolParts, error) {
+func newProtocolParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget, g *guard.Guard) (*protocolParts, error) {
 	if s.Protocol == config.Lines {
-		return newLineParts(lc, s, st, log, mesh, bytes, memory)
+		return newLineParts(lc, s, st, log, mesh, bytes, memory, g)
 	}
 	return newPostgresParts(s, bytes), nil
 }
--- a/internal/guard/guard.go
+++ b/internal/guard/guard.go
@@ -34,13 +34,15 @@
 	NoInterruptedRequest Invariant = "no-cut-request"
 	// SheetMonotonic: a sheet is never replaced by an older one.
 	SheetMonotonic Invariant = "sheet-forward"
+	// UnalteredStatement: a member reads a statement as its caller wrote it.
+	UnalteredStatement Invariant = "unaltered-statement"
 )
 
 // Invariants returns all invariants.
 func Invariants() []Invariant {
 	return []Invariant{
 		ReadYourWrites, NoReplacedAck, SingleCallerTransaction, CompleteAnswer, RejectedNotSent,
-		AtMostOnce, NoWorkToDrainingDatabase, NoInterruptedRequest, SheetMonotonic,
+		AtMostOnce, NoWorkToDrainingDatabase, NoInterruptedRequest, SheetMonotonic, UnalteredStatement,
 	}
 }
 
--- a/internal/labpf/member.go
+++ b/internal/labpf/member.go
@@ -71,7 +71,7 @@
 	// connected is the name with which the connection was opened.
 	connected string
 	values    map[string]string
-	prepared  map[string]string
+	prepared  map[string]preparedStatement
 	// open tells that a transaction is, reads that it only reads; writes are its own.
 	open   bool
 	reads  bool
@@ -79,6 +79,12 @@
 	writes []entry
 }
 
+// preparedStatement is a statement that was prepared on a connection.
+type preparedStatement struct {
+	access string
+	shape  string
+}
+
 // maxLine is the size in bytes of the longest line that a member reads: a statement of the
 // longest line that a caller may send, with a position before it.
 const maxLine = 1<<20 + 1<<10
@@ -120,7 +126,9 @@
 	}
 }
 
-func (s *session) reset() { s.values, s.prepared = make(map[string]string), make(map[string]string) }
+func (s *session) reset() {
+	s.values, s.prepared = make(map[string]string), make(map[string]preparedStatement)
+}
 
 func (s *session) ready() string {
 	s.group.mu.Lock()
@@ -159,11 +167,11 @@
 	}
 	if word == "EXECUTE" {
 		name, arguments, _ := strings.Cut(rest, " ")
-		access, found := s.prepared[name]
+		prepared, found := s.prepared[name]
 		if !found {
 			return refused("NOSTMT")
 		}
-		word, rest = access, arguments
+		word, rest = prepared.access, arguments
 	}
 	if s.failed && word != "ROLLBACK" && word != "COMMIT" {
 		return refused("MALFORMED")
@@ -229,7 +237,8 @@
 	case "SET":
 		s.values[name] = value
 	case "PREPARE":
-		s.prepared[name], _, _ = strings.Cut(value, " ")
+		access, shape, _ := strings.Cut(value, " ")
+		s.prepared[name] = preparedStatement{access: access, shape: shape}
 	default:
 		return "", false
 	}
--- a/internal/labpf/tenants.go
+++ b/internal/labpf/tenants.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 )
 
 // Tenant is an entry of the list of tenants in a configuration.
@@ -18,7 +19,11 @@
 	Member string
 	// Connected is the name with which the connection was opened.
 	Connected string
-	Text      string
+	// ID is the caller's identifier of its request.
+	ID   string
+	Text string
+	// Shape is that of the prepared statement which was executed, or empty.
+	Shape string
 }
 
 // noteStatement records a statement of a caller. Statements with the ID "-" are the proxy's own.
@@ -26,10 +31,15 @@
 	if id == "-" {
 		return
 	}
+	noted := Statement{Member: s.name, Connected: s.connected, ID: id, Text: text}
+	if rest, executes := strings.CutPrefix(text, "EXECUTE "); executes {
+		name, _, _ := strings.Cut(rest, " ")
+		noted.Shape = s.prepared[name].shape
+	}
 	g := s.group
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.statements = append(g.statements, Statement{Member: s.name, Connected: s.connected, Text: text})
+	g.statements = append(g.statements, noted)
 }
 
 func (s *session) noteOpened() {
