--- /dev/null
+++ b/internal/labpf/prepared_test.go
@@ -0,0 +1,45 @@
+package labpf_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/labpf"
+)
+
+// ran returns the statements that members received and that end in the given arguments.
+func (s *site) ran(arguments string) []labpf.Statement {
+	var found []labpf.Statement
+	for _, st := range s.platform.Statements() {
+		if strings.HasSuffix(st.Text, " "+arguments) {
+			found = append(found, st)
+		}
+	}
+	return found
+}
+
+// TestPreparedStatementOfSeveralWordsRunsAsSent guards against members that run a statement which
+// no caller sent: words of the prepared text reached the member as arguments.
+func TestPreparedStatementOfSeveralWordsRunsAsSent(t *testing.T) {
+	shapes := []string{
+		"q2f", "q2f READ memmg", "q2f  READ", "q2f ", " q2f", "q2f WRITE q2f", "READ", "-",
+		"\tq2f", strings.Repeat("long ", 100) + "q2f",
+	}
+	s := newSite(t, 1)
+	for i, shape := range shapes {
+		c := s.enter(0, labpf.Latest)
+		s.does(c, "PREPARE s1 WRITE "+shape)
+		arguments := fmt.Sprintf("3b%d value%d", i, i)
+		_, code, _, err := c.ask("EXECUTE s1 " + arguments)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(code).To(BeEmpty(), "shape %q", shape)
+		ran := s.ran(arguments)
+		s.Expect(ran).To(HaveLen(1), "shape %q", shape)
+		s.Expect(strings.Split(ran[0].Text, " ")).To(HaveLen(4), "EXECUTE, a name and two arguments, in %q", ran[0].Text)
+		s.Expect(ran[0].Shape).To(Equal(shape))
+		s.Expect(s.platform.Count(fmt.Sprint("value", i))).To(Equal(1))
+	}
+}
