Name prepared statements at members without text of callers

Cause: the name of a prepared statement at a member was w_ or r_ and the statement's text. The text extends to the end of the caller's line and may contain blanks, so the member read the rest of the name as arguments. Text from outside became syntax of a message that the proxy sends.

Change: names count the prepared statements of the connection (s1, s2) and none is given twice on a connection, also after RESET.

Evidence: TestPreparedStatementOfSeveralWordsRunsAsSent failed before with "EXECUTE w_q2f READ memmg 3b1 value1", and with INDOUBT for a text of 600 KiB, whose PREPARE was over 1 MiB; TestSessionsSharingAConnectionKeepTheirState failed before with the name "r_x READ y".

--- a/internal/labpf/prepared_test.go
+++ b/internal/labpf/prepared_test.go
@@ -27,6 +27,7 @@
 	shapes := []string{
 		"q2f", "q2f READ memmg", "q2f  READ", "q2f ", " q2f", "q2f WRITE q2f", "READ", "-",
 		"\tq2f", strings.Repeat("long ", 100) + "q2f",
+		strings.Repeat("x", 600<<10),
 	}
 	s := newSite(t, 1)
 	for i, shape := range shapes {
--- a/internal/stmt/stmt.go
+++ b/internal/stmt/stmt.go
@@ -9,6 +9,7 @@
 
 import (
 	"maps"
+	"strconv"
 )
 
 // Kind is the type of a statement.
@@ -153,12 +154,14 @@
 }
 
 // Setup is the set of values and prepared statements of a connection to a member.
-// Statements are prepared there under names that are derived from their shapes, so that
-// the names that different callers chose cannot collide.
+// Statements are prepared there under names that count the connection's prepared statements. No
+// text of a caller is part of a name, and no name is given twice on a connection.
 type Setup struct {
 	values   map[string]string
 	prepared map[Shape]string
-	bytes    int
+	// named is the number of names that were given on the connection.
+	named int
+	bytes int
 }
 
 // Bytes returns the memory that the setup takes, roughly and from above.
@@ -187,7 +190,7 @@
 	if !subset(c.values, s.values) {
 		// A single value cannot be unset, so that all have to be reset.
 		before = append(before, Statement{Kind: Reset})
-		after = Setup{}
+		after = Setup{named: c.named}
 	}
 	for name, value := range s.values {
 		if current, found := after.values[name]; found && current == value {
@@ -204,13 +207,14 @@
 	shape := s.prepared[st.Name]
 	name, found := after.prepared[shape]
 	if !found {
-		name = preparedName(shape)
+		after.named++
+		name = "s" + strconv.Itoa(after.named)
 		before = append(before, Statement{Kind: Prepare, Name: name, Shape: shape})
 		prepared := make(map[Shape]string, len(after.prepared)+1)
 		maps.Copy(prepared, after.prepared)
 		prepared[shape] = name
 		after.prepared = prepared
-		after.bytes += 2*len(shape.Text) + entryBytes
+		after.bytes += len(shape.Text) + entryBytes
 	}
 	return before, name, after
 }
@@ -225,11 +229,3 @@
 	}
 	return true
 }
-
-// preparedName returns the name under which a statement is prepared on connections.
-func preparedName(shape Shape) string {
-	if shape.Writes {
-		return "w_" + shape.Text
-	}
-	return "r_" + shape.Text
-}
