Refuse statements that a member would read as several

What callers saw: a text or an ID with a line break, or an ID with a blank, that another host relayed became statements of their own at the member, among them writes. The same encoder writes STARTUP, COMPLETE and DATAROW lines with texts from the store, members and other hosts.

Cause: codec.Conn.Put joined fields without looking at them.

--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -35,6 +35,9 @@
 	r.Answer = answer
 	if err != nil {
 		f.releaseLease(r, false)
+		if fault.FromError(err).Kind.Outcome() == fault.NotRun {
+			r.sends--
+		}
 		return err
 	}
 	if answer.Rejection != nil {
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -127,7 +127,8 @@
 	SetDeadline(t time.Time) error
 	// Close closes the connection at once.
 	Close() error
-	// Send sends a pipeline of queries.
+	// Send sends a pipeline of queries. A fault whose outcome is NotRun means that it has sent no
+	// part of it.
 	Send(queries []Query) error
 	// Receive returns the reply to the next query that was sent.
 	Receive() (Reply, error)
--- a/internal/labpf/forged_test.go
+++ b/internal/labpf/forged_test.go
@@ -104,3 +104,25 @@
 	s.Expect(s.connectedFor("joined")).To(BeEmpty())
 	s.Expect(s.platform.Count("opened")).To(BeZero())
 }
+
+// TestJobOfSeveralLinesIsRefused guards against a relaying host whose text or ID of a statement
+// reaches the member as several statements.
+func TestJobOfSeveralLinesIsRefused(t *testing.T) {
+	s := newSite(t, 1)
+	s.putTenants(2, tenant("acme", "key-of-acme"))
+	s.comes(s.enterWith(0, private, "key-of-acme"), "WRITE k ready")
+	conn := s.dialRelay(0)
+	lines := jobOf("acme", "key-of-acme", "WRITE k sent\r\nQUERY x WRITE k smuggled", stmt.Session{})
+	words := jobOf("acme", "key-of-acme", "WRITE k sent", stmt.Session{})
+	words.Payload.Query.ID = "x WRITE k smuggled"
+	for _, job := range []relay.Job{lines, words} {
+		o := s.sendJob(conn, job)
+		s.Expect(o.Failed).To(BeTrue())
+		s.Expect(o.Fault).To(Equal(fault.Protocol))
+	}
+	s.Expect(s.sendJob(conn, jobOf("acme", "key-of-acme", "WRITE k honest", stmt.Session{})).Failed).To(BeFalse())
+	for _, st := range s.platform.Statements() {
+		s.Expect(st.Text).NotTo(ContainSubstring("smuggled"))
+	}
+	s.Expect(s.platform.Count("sent")).To(BeZero())
+}
