--- a/internal/labpf/forged_test.go
+++ b/internal/labpf/forged_test.go
@@ -126,3 +126,21 @@
 	}
 	s.Expect(s.platform.Count("sent")).To(BeZero())
 }
+
+// TestEntryOfSeveralLinesIsIgnored guards against an entry in the store, of another writer, whose
+// name reaches a member as a statement.
+func TestEntryOfSeveralLinesIsIgnored(t *testing.T) {
+	s := newSite(t, 1)
+	s.platform.Put("servers", "i-1\r\nQUERY x WRITE k smuggled", map[string]any{
+		"service": labpf.Database, "address": s.platform.Primary().Address(), "zone": labpf.DataCentre(0), "version": "v1", "slots": 5,
+		"state": "ready", "db_role": "primary", "seq": 1,
+	})
+	c := s.enter(0, labpf.Latest)
+	s.comes(c, "WRITE k honest")
+	s.Eventually(func() []string { return s.log.with(`"Event":604`) }, patience, 20*time.Millisecond).ShouldNot(BeEmpty())
+	s.comes(c, "READ k")
+	for _, st := range s.platform.Statements() {
+		s.Expect(st.Text).NotTo(ContainSubstring("smuggled"))
+	}
+	s.Expect(s.platform.Count("smuggled")).To(BeZero())
+}
--- a/internal/labpf/group.go
+++ b/internal/labpf/group.go
@@ -57,6 +57,9 @@
 // Name returns the member's name.
 func (m *Member) Name() string { return m.name }
 
+// Address returns the IP and port at which the member listens.
+func (m *Member) Address() string { return m.address }
+
 // Member returns the member of a number.
 func (g *Group) Member(i int) *Member { return g.members[i] }
 
