--- a/internal/labpf/member.go
+++ b/internal/labpf/member.go
@@ -85,9 +85,8 @@
 	shape  string
 }
 
-// maxLine is the size in bytes of the longest line that a member reads: a statement of the
-// longest line that a caller may send, with a position before it.
-const maxLine = 1<<20 + 1<<10
+// maxLine is the size in bytes of the longest line that a member reads.
+const maxLine = 1 << 20
 
 func (m *Member) serve(conn net.Conn) {
 	defer func() {
--- a/internal/labpf/path_test.go
+++ b/internal/labpf/path_test.go
@@ -160,8 +160,13 @@
 
 // ask runs a statement and returns its rows, and the code of an error or "".
 func (c *caller) ask(text string) (rows []string, code, state string, err error) {
+	return c.askAs(fmt.Sprint("q", lastID.Add(1)), text)
+}
+
+// askAs is like ask with a given ID.
+func (c *caller) askAs(id, text string) (rows []string, code, state string, err error) {
 	_ = c.conn.SetDeadline(time.Now().Add(patience))
-	if _, err := fmt.Fprintf(c.conn, "QUERY q%d %s\r\n", lastID.Add(1), text); err != nil {
+	if _, err := fmt.Fprintf(c.conn, "QUERY %s %s\r\n", id, text); err != nil {
 		return nil, "", "", err
 	}
 	for {
