--- a/internal/labpf/prepared_test.go
+++ b/internal/labpf/prepared_test.go
@@ -44,3 +44,27 @@
 		s.Expect(s.platform.Count(fmt.Sprint("value", i))).To(Equal(1))
 	}
 }
+
+// TestArgumentsOfAPreparedStatementKeepTheirBlanks guards against members that run an EXECUTE with
+// other blanks than the caller sent.
+func TestArgumentsOfAPreparedStatementKeepTheirBlanks(t *testing.T) {
+	s := newSite(t, 1)
+	c := s.enter(0, labpf.Latest)
+	s.does(c, "PREPARE s1 WRITE q2f")
+	s.does(c, "PREPARE s2 READ q2f")
+	for i, arguments := range []string{"", " ", "  ", " 3b1 ", " 3b1  v "} {
+		for _, name := range []string{"s1", "s2"} {
+			id := fmt.Sprint("blanks-", name, i)
+			_, _, _, err := c.askAs(id, "EXECUTE "+name+arguments)
+			s.Expect(err).NotTo(HaveOccurred())
+			var ran []string
+			for _, st := range s.platform.Statements() {
+				if st.ID == id && strings.HasPrefix(st.Text, "EXECUTE ") {
+					ran = append(ran, st.Text)
+				}
+			}
+			s.Expect(ran).To(HaveLen(1))
+			s.Expect(ran[0]).To(MatchRegexp("^EXECUTE s[0-9]+"+arguments+"$"), "arguments %q", arguments)
+		}
+	}
+}
