Check at the start that the host's name can be sent to members

What operators saw: a host whose name in the settings has a blank started, and every member refused its connections: the blank shifted the fields of STARTUP.

Cause: the settings only ask for a name that is not empty, and the name is sent with each connection to a member.

Change: with the line protocol, the start ends with a fault if codec.IsName is false.

Evidence: TestHostNameOfSeveralWordsEndsTheStart failed before (no error), and passes.

--- a/internal/app/lines.go
+++ b/internal/app/lines.go
@@ -28,7 +28,9 @@
 	"poplarrouter.example/poplarrouter/internal/share"
 	"poplarrouter.example/poplarrouter/internal/store"
 	"poplarrouter.example/poplarrouter/internal/view"
+	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/platform/caller"
+	"poplarrouter.example/poplarrouter/platform/codec"
 	"poplarrouter.example/poplarrouter/platform/memb"
 	"poplarrouter.example/poplarrouter/platform/objst"
 )
@@ -99,8 +101,12 @@
 }
 
 // newLineParts returns the parts for members that use the line protocol of typed
-// statements.
+// statements. The host's name is sent with each connection to a member, so that newLineParts
+// returns a fault if it cannot be.
 func newLineParts(lc fx.Lifecycle, s config.Settings, st store.Store, log *event.Log, mesh *peer.Connections, bytes *meter.Meter, memory *budget.Budget, g *guard.Guard) (*protocolParts, error) {
+	if !codec.IsName(s.Host) {
+		return nil, fault.New(fault.Protocol, "start", "got the host name %q, want up to %d bytes without blanks and control characters", s.Host, codec.MaxName)
+	}
 	tokens, err := ctrl.NewTokens(mesh.Address())
 	if err != nil {
 		return nil, err
--- a/internal/labpf/forged_test.go
+++ b/internal/labpf/forged_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	. "github.com/onsi/gomega"
 
+	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/flow"
@@ -144,3 +146,20 @@
 	}
 	s.Expect(s.platform.Count("smuggled")).To(BeZero())
 }
+
+// TestHostNameOfSeveralWordsEndsTheStart guards against a host that starts and whose name shifts the
+// fields with which it connects to members, so that each of them refuses it.
+func TestHostNameOfSeveralWordsEndsTheStart(t *testing.T) {
+	s := newSite(t, 0)
+	for _, name := range []string{"front 1", "front-1\r\nQUERY x WRITE k v"} {
+		settings := s.settingsOf(0)
+		settings.Host = name
+		_, stop, err := app.New(settings, s.log)
+		if err == nil {
+			stop()
+		}
+		var known *fault.Error
+		s.Expect(errors.As(err, &known)).To(BeTrue(), "%v", err)
+		s.Expect(known.Kind).To(Equal(fault.Protocol))
+	}
+}
