Relay the arguments of an executed statement once

What callers saw: an EXECUTE of about 512 KiB or more was refused as too large (TOOBIG) on a proxy that is not an owner of the database, and ran on one that is.

Cause: a relayed statement carried its arguments twice, in its text and parsed, so that the job exceeded the size of a frame.

Change: the parsed arguments are left out. The member gets the end of the text.

Evidence: TestLongStatementIsRelayed failed before with TOOBIG, and passes.

--- a/internal/flow/payload.go
+++ b/internal/flow/payload.go
@@ -12,9 +12,14 @@
 	Session stmt.Extract
 }
 
-// Payload returns the payload with which another proxy runs the statement.
+// Payload returns the payload with which another proxy runs the statement. The arguments of an
+// Execute are only in its text, so that the payload is not much longer than the caller's message.
 func (x *Exchange) Payload() Payload {
-	return Payload{Query: x.query, Session: x.session.Extract(x.query.Statement)}
+	q := x.query
+	if q.Statement.Kind == stmt.Execute {
+		q.Statement.Value = ""
+	}
+	return Payload{Query: q, Session: x.session.Extract(q.Statement)}
 }
 
 // Exchange returns the exchange of a statement that another proxy relayed.
--- a/internal/labpf/long_test.go
+++ b/internal/labpf/long_test.go
@@ -28,3 +28,20 @@
 	s.Expect(err).NotTo(HaveOccurred())
 	s.Expect(code).To(BeEmpty(), "a statement that does not grow runs")
 }
+
+// TestLongStatementIsRelayed guards against a statement of an allowed length that only the proxies which
+// own the database run, because its arguments are relayed twice.
+func TestLongStatementIsRelayed(t *testing.T) {
+	s, homes, others := newFleet(t)
+	s.comes(s.enter(0, labpf.Latest), "WRITE k first")
+	for _, i := range []int{homes[0], others[0]} {
+		c := s.enter(i, labpf.Latest)
+		s.does(c, "PREPARE p WRITE q2c")
+		value := strings.Repeat("x", 1<<20-len("QUERY id EXECUTE sNNNNNNN k \r\n"))
+		_, code, _, err := c.askAs("id", "EXECUTE p k "+value)
+		s.Expect(err).NotTo(HaveOccurred())
+		s.Expect(code).To(BeEmpty())
+		s.Expect(len(s.does(c, "READ k"))).To(Equal(len(value)))
+		s.does(c, "WRITE k short")
+	}
+}
