Refuse relayed statements that change a member's connection

Any statement given as the one that began a transaction ran before the job's own.

Cause: the kinds in a relayed job were taken as they were. A host answers these statements itself and never relays them.

Change: flow.Exchange.Run returns a Protocol fault (not run) for statements that only the caller's own proxy answers, and for transactions that no BEGIN began.

Evidence: TestJobThatChangesAConnectionIsRefused failed before ("a write as the begin" ran), and passes.

--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -183,8 +183,26 @@
 // prepare without end would otherwise fill the memory through the idle connections.
 const maxSetupBytes = 128 << 10
 
+// check returns a Protocol fault if the statement, or the one that began its transaction, is none that
+// runs at a member, as another proxy may relay it. A setting would remain on the connection for
+// other sessions, and what begins a transaction runs before the statement.
+func (x *Exchange) check() error {
+	switch x.query.Statement.Kind {
+	case stmt.Commit, stmt.Rollback, stmt.Read, stmt.Write, stmt.Execute:
+	default:
+		return fault.New(fault.Protocol, "run", "got a statement that the caller's proxy answers itself")
+	}
+	if start := x.session.Start.Kind; x.opens() && start != stmt.Begin && start != stmt.BeginRead {
+		return fault.New(fault.Protocol, "run", "got a transaction that no BEGIN began")
+	}
+	return nil
+}
+
 // Run implements chain.Exchange.
 func (x *Exchange) Run(l member.ProtocolConn, o chain.RunOptions) (chain.Answer, error) {
+	if err := x.check(); err != nil {
+		return chain.Answer{}, err
+	}
 	conn := l.(*MemberConn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
 	opens := x.opens()
 	if opens {
--- a/internal/labpf/forged_test.go
+++ b/internal/labpf/forged_test.go
@@ -129,6 +129,35 @@
 	s.Expect(s.platform.Count("sent")).To(BeZero())
 }
 
+// TestJobThatChangesAConnectionIsRefused guards against a relaying host whose statement leaves a setting
+// on a connection that others use, or runs before the statement of its job.
+func TestJobThatChangesAConnectionIsRefused(t *testing.T) {
+	s := newSite(t, 2)
+	s.putTenants(2, tenant("acme", "key-of-acme"))
+	s.comes(s.enterWith(1, private, "key-of-acme"), "WRITE k ready")
+	conn := s.dialRelay(1)
+	begun, _ := stmt.Session{}.ApplyLocally(stmt.Statement{Kind: stmt.Begin, Text: "BEGIN"})
+	begun.Start = stmt.Statement{Kind: stmt.Write, Text: "WRITE k smuggled"}
+	jobs := map[string]relay.Job{"a write as the begin": jobOf("acme", "key-of-acme", "WRITE k sent", begun)}
+	for _, st := range []stmt.Statement{
+		{Kind: stmt.Set, Name: "zone", Value: "smuggled", Text: "SET zone smuggled"}, {Kind: stmt.Reset, Text: "RESET"}, {Kind: stmt.Begin, Text: "BEGIN"},
+		{Kind: stmt.Prepare, Name: "s1", Shape: stmt.Shape{Text: "smuggled"}, Text: "PREPARE s1 READ smuggled"},
+	} {
+		job := jobOf("acme", "key-of-acme", "", stmt.Session{})
+		job.Payload.Query.Statement = st
+		jobs[st.Text] = job
+	}
+	for name, job := range jobs {
+		o := s.sendJob(conn, job)
+		s.Expect(o.Failed).To(BeTrue(), name)
+		s.Expect(o.Fault).To(Equal(fault.Protocol), name)
+	}
+	for _, st := range s.platform.Statements() {
+		s.Expect(st.Text).NotTo(ContainSubstring("smuggled"))
+	}
+	s.Expect(s.platform.Count("sent")).To(BeZero())
+}
+
 // TestEntryOfSeveralLinesIsIgnored guards against an entry in the store, of another writer, whose
 // name reaches a member as a statement.
 func TestEntryOfSeveralLinesIsIgnored(t *testing.T) {
