--- a/internal/labpf/forged_test.go
+++ b/internal/labpf/forged_test.go
@@ -7,10 +7,12 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
 
 	. "github.com/onsi/gomega"
 
+	"poplarrouter.example/poplarrouter/internal/app"
 	"poplarrouter.example/poplarrouter/internal/book"
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/flow"
@@ -104,3 +106,89 @@
 	s.Expect(s.connectedFor("joined")).To(BeEmpty())
 	s.Expect(s.platform.Count("opened")).To(BeZero())
 }
+
+// TestJobOfSeveralLinesIsRefused guards against a relaying host whose text or ID of a statement
+// reaches the member as several statements.
+func TestJobOfSeveralLinesIsRefused(t *testing.T) {
+	s := newSite(t, 1)
+	s.putTenants(2, tenant("acme", "key-of-acme"))
+	s.comes(s.enterWith(0, private, "key-of-acme"), "WRITE k ready")
+	conn := s.dialRelay(0)
+	lines := jobOf("acme", "key-of-acme", "WRITE k sent\r\nQUERY x WRITE k smuggled", stmt.Session{})
+	words := jobOf("acme", "key-of-acme", "WRITE k sent", stmt.Session{})
+	words.Payload.Query.ID = "x WRITE k smuggled"
+	for _, job := range []relay.Job{lines, words} {
+		o := s.sendJob(conn, job)
+		s.Expect(o.Failed).To(BeTrue())
+		s.Expect(o.Fault).To(Equal(fault.Protocol))
+	}
+	s.Expect(s.sendJob(conn, jobOf("acme", "key-of-acme", "WRITE k honest", stmt.Session{})).Failed).To(BeFalse())
+	for _, st := range s.platform.Statements() {
+		s.Expect(st.Text).NotTo(ContainSubstring("smuggled"))
+	}
+	s.Expect(s.platform.Count("sent")).To(BeZero())
+}
+
+// TestJobThatChangesAConnectionIsRefused guards against a relaying host whose statement leaves a setting
+// on a connection that others use, or runs before the statement of its job.
+func TestJobThatChangesAConnectionIsRefused(t *testing.T) {
+	s := newSite(t, 2)
+	s.putTenants(2, tenant("acme", "key-of-acme"))
+	s.comes(s.enterWith(1, private, "key-of-acme"), "WRITE k ready")
+	conn := s.dialRelay(1)
+	begun, _ := stmt.Session{}.ApplyLocally(stmt.Statement{Kind: stmt.Begin, Text: "BEGIN"})
+	begun.Start = stmt.Statement{Kind: stmt.Write, Text: "WRITE k smuggled"}
+	jobs := map[string]relay.Job{"a write as the begin": jobOf("acme", "key-of-acme", "WRITE k sent", begun)}
+	for _, st := range []stmt.Statement{
+		{Kind: stmt.Set, Name: "zone", Value: "smuggled", Text: "SET zone smuggled"}, {Kind: stmt.Reset, Text: "RESET"}, {Kind: stmt.Begin, Text: "BEGIN"},
+		{Kind: stmt.Prepare, Name: "s1", Shape: stmt.Shape{Text: "smuggled"}, Text: "PREPARE s1 READ smuggled"},
+	} {
+		job := jobOf("acme", "key-of-acme", "", stmt.Session{})
+		job.Payload.Query.Statement = st
+		jobs[st.Text] = job
+	}
+	for name, job := range jobs {
+		o := s.sendJob(conn, job)
+		s.Expect(o.Failed).To(BeTrue(), name)
+		s.Expect(o.Fault).To(Equal(fault.Protocol), name)
+	}
+	for _, st := range s.platform.Statements() {
+		s.Expect(st.Text).NotTo(ContainSubstring("smuggled"))
+	}
+	s.Expect(s.platform.Count("sent")).To(BeZero())
+}
+
+// TestEntryOfSeveralLinesIsIgnored guards against an entry in the store, of another writer, whose
+// name reaches a member as a statement.
+func TestEntryOfSeveralLinesIsIgnored(t *testing.T) {
+	s := newSite(t, 1)
+	s.platform.Put("servers", "i-1\r\nQUERY x WRITE k smuggled", map[string]any{
+		"service": labpf.Database, "address": s.platform.Primary().Address(), "zone": labpf.DataCentre(0), "version": "v1", "slots": 5,
+		"state": "ready", "db_role": "primary", "seq": 1,
+	})
+	c := s.enter(0, labpf.Latest)
+	s.comes(c, "WRITE k honest")
+	s.Eventually(func() []string { return s.log.with(`"Event":604`) }, patience, 20*time.Millisecond).ShouldNot(BeEmpty())
+	s.comes(c, "READ k")
+	for _, st := range s.platform.Statements() {
+		s.Expect(st.Text).NotTo(ContainSubstring("smuggled"))
+	}
+	s.Expect(s.platform.Count("smuggled")).To(BeZero())
+}
+
+// TestHostNameOfSeveralWordsEndsTheStart guards against a host that starts and whose name shifts the
+// fields with which it connects to members, so that each of them refuses it.
+func TestHostNameOfSeveralWordsEndsTheStart(t *testing.T) {
+	s := newSite(t, 0)
+	for _, name := range []string{"front 1", "front-1\r\nQUERY x WRITE k v"} {
+		settings := s.settingsOf(0)
+		settings.Host = name
+		_, stop, err := app.New(settings, s.log)
+		if err == nil {
+			stop()
+		}
+		var known *fault.Error
+		s.Expect(errors.As(err, &known)).To(BeTrue(), "%v", err)
+		s.Expect(known.Kind).To(Equal(fault.Protocol))
+	}
+}
