Run a replaced unnamed statement as it was when it was bound

What callers saw: a caller that prepared the unnamed statement in one request and, in the next, bound it, then prepared another one and bound that, had the second statement run twice: a member ran a statement with parameters that the caller had bound to another.

Cause: a batch holds one Parse message for each name at members, to be sent to a connection that lacks the statement. The unnamed statement has one name for all texts, and the last use replaced the first.

Change: the batch keeps the Parse message of the first use. Later uses follow a Parse message of the batch itself.

Evidence: TestStatementReplacedInABatchRunsBeforeAsItWas failed before: it got "DELETE FROM orders WHERE id = $1" twice, want "DELETE FROM drafts WHERE id = $1" first.

--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -49,7 +49,9 @@
 	items      []item
 	bytes      int
 	executions int
-	parses     map[string][]byte
+	// parses holds the encoded Parse message of each statement that the batch uses, by the name
+	// at members. Of the unnamed statement it is the one that the batch uses first.
+	parses map[string][]byte
 }
 
 // statement is a prepared statement of a session.
@@ -236,7 +238,9 @@
 	if !found {
 		return "", fault.New(fault.Protocol, "read request", "got statement %q, want a prepared statement", callerName)
 	}
-	c.batch.parses[st.name] = st.raw
+	if _, used := c.batch.parses[st.name]; !used {
+		c.batch.parses[st.name] = st.raw
+	}
 	c.recordText(st.text)
 	return st.name, nil
 }
--- /dev/null
+++ b/internal/wire/batch_test.go
@@ -0,0 +1,77 @@
+package wire_test
+
+import (
+	"testing"
+
+	"github.com/jackc/pgx/v5/pgproto3"
+	. "github.com/onsi/gomega"
+
+	"poplarrouter.example/poplarrouter/internal/wire"
+)
+
+// runs returns the texts that a member runs for a batch, one for each Execute message, when it
+// has the given statements, which it may add to.
+func runs(g *WithT, b *wire.Batch, statements map[string]string) []string {
+	known := make(map[string]struct{})
+	for name := range statements {
+		known[name] = struct{}{}
+	}
+	raw, _ := b.Encode(known)
+	portals := make(map[string]string)
+	var texts []string
+	for _, m := range decoded(g, raw) {
+		switch msg := m.(type) {
+		case *pgproto3.Parse:
+			statements[msg.Name] = msg.Query
+		case *pgproto3.Bind:
+			g.Expect(statements).To(HaveKey(msg.PreparedStatement))
+			portals[msg.DestinationPortal] = statements[msg.PreparedStatement]
+		case *pgproto3.Close:
+			if msg.ObjectType == 'P' {
+				delete(portals, msg.Name)
+			}
+		case *pgproto3.Execute:
+			g.Expect(portals).To(HaveKey(msg.Portal))
+			texts = append(texts, portals[msg.Portal])
+		}
+	}
+	return texts
+}
+
+// decoded returns the messages that a batch sends.
+func decoded(g *WithT, raw []byte) []pgproto3.FrontendMessage {
+	var messages []pgproto3.FrontendMessage
+	for len(raw) > 0 {
+		size := int(raw[1])<<24 | int(raw[2])<<16 | int(raw[3])<<8 | int(raw[4])
+		var m pgproto3.FrontendMessage
+		switch raw[0] {
+		case 'P':
+			m = &pgproto3.Parse{}
+		case 'B':
+			m = &pgproto3.Bind{}
+		case 'C':
+			m = &pgproto3.Close{}
+		case 'E':
+			m = &pgproto3.Execute{}
+		case 'D':
+			m = &pgproto3.Describe{}
+		default:
+			m = &pgproto3.Sync{}
+		}
+		g.Expect(m.Decode(raw[5 : 1+size])).To(Succeed())
+		messages = append(messages, m)
+		raw = raw[1+size:]
+	}
+	return messages
+}
+
+// TestStatementReplacedInABatchRunsBeforeAsItWas guards against running a caller's earlier unnamed
+// statement with the text of the one that replaces it later in the same batch.
+func TestStatementReplacedInABatchRunsBeforeAsItWas(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(limit)
+	collect(g, c, &pgproto3.Parse{Query: "DELETE FROM drafts WHERE id = $1"}, &pgproto3.Sync{})
+	batch := collect(g, c, &pgproto3.Bind{}, &pgproto3.Execute{},
+		&pgproto3.Parse{Query: "DELETE FROM orders WHERE id = $1"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
+	g.Expect(runs(g, batch, map[string]string{})).To(Equal([]string{"DELETE FROM drafts WHERE id = $1", "DELETE FROM orders WHERE id = $1"}))
+}
