Prepare a text once that a batch prepares under two names

What callers saw: a request that prepares the same text under two names, or under one name again after closing it, failed: the member answered that the statement already exists (42P05).

Cause: statements are named at members by their text, so that both names of the caller became one. Only statements that the connection had before the batch were left out.

Change: a statement that the batch itself has prepared is left out as well.

Evidence: TestSameTextUnderTwoNamesIsPreparedOnce failed before: the batch sent "PPS", want "PCS". Not run against PostgreSQL; the stand-in accepts a second Parse message.

--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -308,6 +308,7 @@
 				continue
 			}
 			p.parses = append(p.parses, parseStep{name: it.statement})
+			added[it.statement] = true
 		case closeItem:
 			p.closes = append(p.closes, closeStep{})
 		case plainItem, useItem:
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -75,3 +75,15 @@
 		&pgproto3.Parse{Query: "DELETE FROM orders WHERE id = $1"}, &pgproto3.Bind{}, &pgproto3.Execute{}, &pgproto3.Sync{})
 	g.Expect(runs(g, batch, map[string]string{})).To(Equal([]string{"DELETE FROM drafts WHERE id = $1", "DELETE FROM orders WHERE id = $1"}))
 }
+
+// TestSameTextUnderTwoNamesIsPreparedOnce guards against preparing a statement twice under the one
+// name that its text has at members, which a member refuses.
+func TestSameTextUnderTwoNamesIsPreparedOnce(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(limit)
+	both := collect(g, c, parse("a"), parse("b"), &pgproto3.Sync{})
+	g.Expect(sent(both, nil)).To(Equal("PCS"))
+	again := collect(g, c, parse("a"), &pgproto3.Close{ObjectType: 'S', Name: "a"}, parse("a"), &pgproto3.Sync{})
+	g.Expect(sent(again, nil)).To(Equal("PCCS"))
+	g.Expect(sent(collect(g, c, parse(""), parse(""), &pgproto3.Sync{}), nil)).To(Equal("PPS"), "the unnamed statement may be replaced")
+}
