Close no portal of a caller in place of a message

What callers saw: a caller that calls a portal poplar_absent, and prepares or closes a statement in the same transaction, was told that its portal does not exist (34000).

Cause: a message that is not forwarded is replaced by one that closes the portal poplar_absent. Callers choose the names of portals freely.

Change: the replacement closes a statement. Names of callers' statements never reach members, and the proxy's own are poplar_ and 32 digits.

Evidence: TestReplacedMessageLeavesPortalsOfCallers failed before: the portal was gone when the batch executed it. It passes now.

--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -266,16 +266,21 @@
 	return c.add(useItem, name, &pgproto3.Describe{ObjectType: 'S', Name: name})
 }
 
-// absentPortal is the name of a portal that is never opened. A Close message for it replaces a
-// message that is not forwarded, so that the member answers at that place of the batch.
-const absentPortal = "poplar_absent"
+// absentStatement is a name that no statement has at members. A Close message for it replaces a
+// message that is not forwarded, so that the member answers at that place of the batch. It is not
+// the name of a portal, because callers choose those.
+const absentStatement = "poplar_absent"
+
+func closeAbsent() *pgproto3.Close {
+	return &pgproto3.Close{ObjectType: 'S', Name: absentStatement}
+}
 
 func (c *Collector) close(msg *pgproto3.Close) error {
 	if msg.ObjectType != 'S' {
 		return c.add(closeItem, "", msg)
 	}
 	c.dropStatement(msg.Name)
-	return c.add(closeItem, "", &pgproto3.Close{ObjectType: 'P', Name: absentPortal})
+	return c.add(closeItem, "", closeAbsent())
 }
 
 // Reset discards an incomplete batch. The session calls it after a fault, and skips messages until
@@ -298,7 +303,7 @@
 		p.parses = append(p.parses, parseStep{name: name, suppress: true})
 		added[name] = true
 	}
-	absent, _ := (&pgproto3.Close{ObjectType: 'P', Name: absentPortal}).Encode(nil)
+	absent, _ := closeAbsent().Encode(nil)
 	for _, it := range b.items {
 		switch it.kind {
 		case parseItem:
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -87,3 +87,15 @@
 	g.Expect(sent(again, nil)).To(Equal("PCCS"))
 	g.Expect(sent(collect(g, c, parse(""), parse(""), &pgproto3.Sync{}), nil)).To(Equal("PPS"), "the unnamed statement may be replaced")
 }
+
+// TestReplacedMessageLeavesPortalsOfCallers guards against closing a portal to which a caller gave
+// the name that the proxy uses for a message that replaces another.
+func TestReplacedMessageLeavesPortalsOfCallers(t *testing.T) {
+	g := NewWithT(t)
+	c := wire.NewCollector(limit)
+	statements := map[string]string{}
+	runs(g, collect(g, c, parse("own"), &pgproto3.Sync{}), statements)
+	batch := collect(g, c, &pgproto3.Bind{PreparedStatement: "own", DestinationPortal: "poplar_absent"},
+		parse("other"), &pgproto3.Close{ObjectType: 'S', Name: "other"}, &pgproto3.Execute{Portal: "poplar_absent"}, &pgproto3.Sync{})
+	g.Expect(runs(g, batch, statements)).To(Equal([]string{"SELECT $1"}))
+}
