Refuse a setting of the proxy together with other statements

What callers saw: a request of extended-query messages that began with SET or SHOW of a setting of the proxy (pipelines and batches of drivers) was answered by the proxy whole: a write in the same request was answered as done ("SET") and no member ran it. A simple query with such a statement dropped the messages before it. A setting later in a request went to a member and had no effect.

Cause: the text of the first statement decided for all messages of the request.

Change: each text is looked at (its first letters, before any pattern), and a request that mixes settings of the proxy with other statements, or two different ones, is refused with a Protocol fault before any of it is sent. A simple query answers the messages before it.

Evidence: TestProxyAnswersForNoStatementOfMembers failed before, as no request of its seven was refused ("Expected an error to have occurred"; the map's order picks which is reported).

--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -43,9 +43,12 @@
 	Simple bool
 	// FirstStatement is the text of the first statement that the batch prepares or uses.
 	FirstStatement string
-	// Local is the statement that the proxy answers itself, or nil.
+	// Local is the statement that the proxy answers itself, or nil. The batch then prepares and
+	// uses no other statement.
 	Local *LocalStatement
 
+	// recorded is set once FirstStatement and Local are.
+	recorded   bool
 	items      []item
 	bytes      int
 	executions int
@@ -118,8 +121,9 @@
 func (c *Collector) query(msg *pgproto3.Query) (*Batch, error) {
 	b := c.batch
 	b.Simple = true
-	b.FirstStatement = msg.String
-	b.Local = parseLocal(msg.String)
+	if err := c.recordText(msg.String); err != nil {
+		return nil, err
+	}
 	return c.finish(msg)
 }
 
@@ -220,16 +224,24 @@
 	if err := c.setStatement(callerName, statement{name: renamed.Name, text: msg.Query, raw: raw}); err != nil {
 		return err
 	}
-	c.recordText(msg.Query)
+	if err := c.recordText(msg.Query); err != nil {
+		return err
+	}
 	return c.add(parseItem, renamed.Name, renamed)
 }
 
-// recordText records the text of a statement if it is the first of the batch.
-func (c *Collector) recordText(text string) {
-	if c.batch.FirstStatement == "" {
-		c.batch.FirstStatement = text
-		c.batch.Local = parseLocal(text)
+// recordText records the text of a statement of the batch. It returns a Protocol fault for a
+// statement that the proxy answers itself in a batch with another one.
+func (c *Collector) recordText(text string) error {
+	b, local := c.batch, parseLocal(text)
+	if !b.recorded {
+		b.recorded, b.FirstStatement, b.Local = true, text, local
+		return nil
+	}
+	if (b.Local == nil && local == nil) || (b.Local != nil && local != nil && *b.Local == *local) {
+		return nil
 	}
+	return fault.New(fault.Protocol, "read request", "got a setting of the proxy and another statement in one request, want a request for each")
 }
 
 // useStatement looks up a statement and records that the batch needs it.
@@ -241,8 +253,7 @@
 	if _, used := c.batch.parses[st.name]; !used {
 		c.batch.parses[st.name] = st.raw
 	}
-	c.recordText(st.text)
-	return st.name, nil
+	return st.name, c.recordText(st.text)
 }
 
 func (c *Collector) bind(msg *pgproto3.Bind) error {
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -7,6 +7,7 @@
 	. "github.com/onsi/gomega"
 
 	"poplarrouter.example/poplarrouter/internal/wire"
+	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
 // runs returns the texts that a member runs for a batch, one for each Execute message, when it
@@ -99,3 +100,49 @@
 		parse("other"), &pgproto3.Close{ObjectType: 'S', Name: "other"}, &pgproto3.Execute{Portal: "poplar_absent"}, &pgproto3.Sync{})
 	g.Expect(runs(g, batch, statements)).To(Equal([]string{"SELECT $1"}))
 }
+
+// TestProxyAnswersForNoStatementOfMembers guards against answering a statement that a member has to
+// run because a setting of the proxy is in the same request.
+func TestProxyAnswersForNoStatementOfMembers(t *testing.T) {
+	g := NewWithT(t)
+	set := &pgproto3.Parse{Name: "set", Query: "SET poplarrouter.kind = 'own-orders'"}
+	show := &pgproto3.Parse{Name: "show", Query: "SHOW poplarrouter.kind"}
+	write := &pgproto3.Parse{Name: "write", Query: "INSERT INTO orders VALUES (1)"}
+	execute := func(names ...string) []pgproto3.FrontendMessage {
+		var messages []pgproto3.FrontendMessage
+		for _, name := range names {
+			messages = append(messages, &pgproto3.Bind{PreparedStatement: name}, &pgproto3.Execute{})
+		}
+		return messages
+	}
+	for name, messages := range map[string][]pgproto3.FrontendMessage{
+		"setting before a write":          execute("set", "write"),
+		"setting after a write":           execute("write", "set"),
+		"two settings":                    execute("set", "show"),
+		"setting as a query after others": append(execute("write"), &pgproto3.Query{String: set.Query}),
+		"query after a setting":           append(execute("set"), &pgproto3.Query{String: write.Query}),
+		"setting after an empty text":     append([]pgproto3.FrontendMessage{&pgproto3.Parse{}}, execute("", "set")...),
+		"new statement after a setting":   append(execute("set"), &pgproto3.Parse{Query: write.Query}),
+	} {
+		c := wire.NewCollector(limit)
+		for _, p := range []*pgproto3.Parse{set, show, write} {
+			collect(g, c, p, &pgproto3.Sync{})
+		}
+		var err error
+		for _, m := range messages {
+			if err == nil {
+				_, err = c.Add(m)
+			}
+		}
+		g.Expect(err).To(HaveOccurred(), name)
+		g.Expect(fault.FromError(err).Kind).To(Equal(fault.Protocol), name)
+	}
+	c := wire.NewCollector(limit)
+	g.Expect(collect(g, c, append([]pgproto3.FrontendMessage{set}, append(execute("set", "set"), &pgproto3.Sync{})...)...).Local).NotTo(BeNil())
+	closed := collect(g, c, &pgproto3.Close{ObjectType: 'S', Name: "set"}, &pgproto3.Query{String: set.Query})
+	out := &sink{}
+	w := wire.NewWriter(out)
+	closed.AnswerLocal(w, "", wire.Idle)
+	g.Expect(w.Flush()).To(Succeed())
+	g.Expect(types(out.Bytes())).To(Equal("3CZ"), "each message is answered")
+}
--- a/internal/wire/local.go
+++ b/internal/wire/local.go
@@ -31,7 +31,11 @@
 	beginPattern = regexp.MustCompile(`(?i)^\s*(?:BEGIN|START\s+TRANSACTION)\b[^;]*\bREAD\s+ONLY\b`)
 )
 
+// parseLocal returns the statement that the proxy answers itself, or nil for any other text.
 func parseLocal(text string) *LocalStatement {
+	if !mayBeLocal(text) {
+		return nil
+	}
 	if match := setPattern.FindStringSubmatch(text); match != nil {
 		return &LocalStatement{Setting: strings.ToLower(match[1]), Value: match[2]}
 	}
@@ -41,6 +45,16 @@
 	return nil
 }
 
+// mayBeLocal reports whether a text begins like SET or SHOW.
+func mayBeLocal(text string) bool {
+	i := 0
+	for i < len(text) && (text[i] == ' ' || (text[i] >= '\t' && text[i] <= '\r')) {
+		i++
+	}
+	return i < len(text) && (text[i] == 's' || text[i] == 'S') &&
+		(strings.EqualFold(text[i:min(i+len("SET"), len(text))], "SET") || strings.EqualFold(text[i:min(i+len("SHOW"), len(text))], "SHOW"))
+}
+
 // BeginsReadOnly reports whether the batch begins a read-only transaction.
 func (b *Batch) BeginsReadOnly() bool { return beginPattern.MatchString(b.FirstStatement) }
 
@@ -49,14 +63,6 @@
 // AnswerLocal answers a batch that holds a local statement. value is the value of the setting, for
 // SHOW, and status the transaction status of the session.
 func (b *Batch) AnswerLocal(w *Writer, value string, status byte) {
-	if b.Simple {
-		if b.Local.Show {
-			w.Put(localRow(b.Local.Setting))
-		}
-		b.executeLocal(w, value)
-		w.Put(&pgproto3.ReadyForQuery{TxStatus: status})
-		return
-	}
 	for _, it := range b.items {
 		b.answerItem(w, it, value)
 	}
@@ -76,6 +82,7 @@
 	describeByte = 'D'
 	executeByte  = 'E'
 	closeByte    = 'C'
+	queryByte    = 'Q'
 	// headerBytes is the size of a message's type byte and length field. In a Describe message,
 	// the type of the object follows them.
 	headerBytes = 5
@@ -100,6 +107,11 @@
 		}
 	case executeByte:
 		b.executeLocal(w, value)
+	case queryByte:
+		if b.Local.Show {
+			w.Put(localRow(b.Local.Setting))
+		}
+		b.executeLocal(w, value)
 	}
 }
 
