Read quoted arguments of orders whole in the stand-in

What operators saw: nothing; only the stand-in of members is concerned. An order with a name that holds a comma or a quote arrived there as another name, so that a test could not show what a member is told.

Cause: the list of arguments was cut at each comma and blank, and quotes were trimmed.

Change: arguments are numbers and literals in which quotes are doubled. Any other list is no order.

Evidence: TestOrdersReadQuotedArguments failed before with "got term 7 by a, want", want "got term 7 by a', 'b,". Now it passes, as do ./internal/pgmem and ./internal/crowd.

--- a/internal/labdb/order.go
+++ b/internal/labdb/order.go
@@ -15,7 +15,7 @@
 	"poplarrouter.example/poplarrouter/pkg/group"
 )
 
-var orderPattern = regexp.MustCompile(`(?i)^\s*select\s+poplar_([a-z]+)\((.*)\)\s*;?\s*$`)
+var orderPattern = regexp.MustCompile(`(?is)^\s*select\s+poplar_([a-z]+)\((.*)\)\s*;?\s*$`)
 
 // command is a call of one of the stand-in's control functions.
 type command struct {
@@ -29,15 +29,57 @@
 	if match == nil {
 		return nil
 	}
-	c := &command{name: strings.ToLower(match[1])}
-	if strings.TrimSpace(match[2]) == "" {
-		return c
+	args, valid := arguments(strings.TrimSpace(match[2]))
+	if !valid {
+		return nil
+	}
+	return &command{name: strings.ToLower(match[1]), args: args}
+}
+
+// arguments reads numbers and literals in single quotes, joined by commas. It returns false for
+// any other text.
+func arguments(list string) (args []string, valid bool) {
+	if list == "" {
+		return nil, true
+	}
+	for {
+		var arg string
+		if arg, list, valid = firstArgument(list); !valid {
+			return nil, false
+		}
+		args = append(args, arg)
+		if list == "" {
+			return args, true
+		}
+		if list[0] != ',' {
+			return nil, false
+		}
+		list = strings.TrimSpace(list[1:])
 	}
-	// Term histories hold commas, so a cut is made only outside quotes.
-	for part := range strings.SplitSeq(match[2], ", ") {
-		c.args = append(c.args, strings.Trim(strings.TrimSpace(part), "'"))
+}
+
+// firstArgument returns the first argument of a list and what follows it.
+func firstArgument(list string) (arg, rest string, valid bool) {
+	if !strings.HasPrefix(list, "'") {
+		end := strings.IndexFunc(list, func(r rune) bool { return r < '0' || r > '9' })
+		if end < 0 {
+			end = len(list)
+		}
+		return list[:end], strings.TrimSpace(list[end:]), end > 0
+	}
+	var text strings.Builder
+	for i := 1; i < len(list); i++ {
+		if list[i] != '\'' {
+			text.WriteByte(list[i])
+			continue
+		}
+		if i+1 == len(list) || list[i+1] != '\'' {
+			return text.String(), strings.TrimSpace(list[i+1:]), true
+		}
+		text.WriteByte('\'')
+		i++
 	}
-	return c
+	return "", "", false
 }
 
 func (c *command) arg(i int) string {
