Quote names in orders to members

Cause: fence, promote, follow, lead, evict and busy put names between quotes as they were.

Change: texts become literals with doubled quotes, and doubled backslashes where the member reports standard_conforming_strings off. A NUL, which would end the message's text, is a *LiteralError. What members get for other names is the same as before, so that adapters need no change.

TestBackslashesAreEscapedWhereMembersReadEscapes failed with "poplar_evict('a\'b\')". Both pass, and ./internal/labset does.

--- a/internal/pgmem/link.go
+++ b/internal/pgmem/link.go
@@ -66,32 +66,32 @@
 
 // Fence implements member.Control.
 func (c *ControlConn) Fence(ctx context.Context, attempt member.PromotionAttempt) (group.State, error) {
-	return c.query(ctx, fmt.Sprintf("SELECT poplar_fence(%d, '%s')", attempt.Term, attempt.Promoter))
+	return c.query(ctx, "poplar_fence", attempt.Term, attempt.Promoter)
 }
 
 // Promote implements member.Control.
 func (c *ControlConn) Promote(ctx context.Context, attempt member.PromotionAttempt) (group.State, error) {
-	return c.query(ctx, fmt.Sprintf("SELECT poplar_promote(%d, '%s')", attempt.Term, attempt.Promoter))
+	return c.query(ctx, "poplar_promote", attempt.Term, attempt.Promoter)
 }
 
 // Follow implements member.Control.
 func (c *ControlConn) Follow(ctx context.Context, term group.Term, primary string, starts []group.Start) (group.State, error) {
-	return c.query(ctx, fmt.Sprintf("SELECT poplar_follow(%d, '%s', '%s')", term, primary, group.FormatStarts(starts)))
+	return c.query(ctx, "poplar_follow", term, primary, group.FormatStarts(starts))
 }
 
 // AcquireSlotLease implements member.SlotControl.
 func (c *ControlConn) AcquireSlotLease(ctx context.Context, host string) (group.State, error) {
-	return c.query(ctx, fmt.Sprintf("SELECT poplar_lead('%s')", host))
+	return c.query(ctx, "poplar_lead", host)
 }
 
 // Evict implements member.SlotControl.
 func (c *ControlConn) Evict(ctx context.Context, host string) (group.State, error) {
-	return c.query(ctx, fmt.Sprintf("SELECT poplar_evict('%s')", host))
+	return c.query(ctx, "poplar_evict", host)
 }
 
 // Busy implements member.SlotControl.
 func (c *ControlConn) Busy(ctx context.Context, host string) (int, error) {
-	text, err := c.queryText(ctx, fmt.Sprintf("SELECT poplar_busy('%s')", host))
+	text, err := c.queryText(ctx, "poplar_busy", host)
 	if err != nil {
 		return 0, err
 	}
@@ -108,7 +108,7 @@
 	for _, id := range processIDs {
 		words = append(words, strconv.FormatUint(uint64(id), 10))
 	}
-	text, err := c.queryText(ctx, fmt.Sprintf("SELECT poplar_running('%s')", strings.Join(words, " ")))
+	text, err := c.queryText(ctx, "poplar_running", strings.Join(words, " "))
 	if err != nil {
 		return nil, err
 	}
@@ -133,19 +133,33 @@
 	}
 }
 
-func (c *ControlConn) query(ctx context.Context, text string) (group.State, error) {
-	answer, err := c.queryText(ctx, text)
+func (c *ControlConn) query(ctx context.Context, function string, args ...any) (group.State, error) {
+	answer, err := c.queryText(ctx, function, args...)
 	if err != nil {
 		return group.State{}, err
 	}
 	return ParseState(answer)
 }
 
-// queryText runs a statement whose result is a single text value.
-func (c *ControlConn) queryText(ctx context.Context, text string) (string, error) {
+// queryText calls a function of the member whose result is a single text value. The arguments are
+// terms and texts.
+func (c *ControlConn) queryText(ctx context.Context, function string, args ...any) (string, error) {
 	if err := c.connect(ctx); err != nil {
 		return "", err
 	}
+	escapes := c.conn.ParameterStatus("standard_conforming_strings") == "off"
+	literals := make([]string, 0, len(args))
+	for _, arg := range args {
+		literal := fmt.Sprint(arg)
+		if text, isText := arg.(string); isText {
+			var err error
+			if literal, err = quote(text, escapes); err != nil {
+				return "", err
+			}
+		}
+		literals = append(literals, literal)
+	}
+	text := "SELECT " + function + "(" + strings.Join(literals, ", ") + ")"
 	results, err := c.conn.Exec(ctx, text).ReadAll()
 	var refusal *pgconn.PgError
 	if errors.As(err, &refusal) {
@@ -161,6 +175,29 @@
 	return oneText(results[0])
 }
 
+// LiteralError reports a text that cannot be an argument of an order to a member.
+type LiteralError struct {
+	Got  string
+	Want string
+}
+
+// Error implements error.
+func (e *LiteralError) Error() string {
+	return fmt.Sprintf("order member: got %q, want %s", e.Got, e.Want)
+}
+
+// quote returns a text as an SQL literal. escapes tells that the member reads backslashes in
+// literals as escapes.
+func quote(text string, escapes bool) (string, error) {
+	if strings.ContainsRune(text, 0) {
+		return "", &LiteralError{Got: text, Want: "a text without NUL"}
+	}
+	if escapes {
+		text = strings.ReplaceAll(text, `\`, `\\`)
+	}
+	return "'" + strings.ReplaceAll(text, "'", "''") + "'", nil
+}
+
 func oneText(result *pgconn.Result) (string, error) {
 	if len(result.Rows) != 1 || len(result.Rows[0]) != 1 {
 		return "", &member.StatusError{Got: "no row", Want: "one row of one column"}
