Refuse names of hosts that the state of a member cannot hold

What operators saw: with one proxy whose name holds a blank, no proxy could read the state of the members whose slots it managed ("got 10 words, want 9"), so that their databases had no primary. A proxy whose name begins with - never knew that it held a lease, as its own name was read back without the dash.

Cause: a state is text of words, and the lease holder's name was written into it as it was; all dashes that begin with the mark for none were taken off.

Change: a host whose name is not one word, or is the mark itself, is refused before the member is told (*LiteralError). Only the mark itself means none.

Evidence: TestLeaseHolderOfSeveralWordsIsRefused failed before for "north 1" with "got 10 words, want 9" and for "-1" with the holder "1".

--- a/internal/pgmem/link.go
+++ b/internal/pgmem/link.go
@@ -79,8 +79,12 @@
 	return c.query(ctx, "poplar_follow", term, primary, group.FormatStarts(starts))
 }
 
-// AcquireSlotLease implements member.SlotControl.
+// AcquireSlotLease implements member.SlotControl. It returns *LiteralError for a host that the text
+// form of a state cannot name.
 func (c *ControlConn) AcquireSlotLease(ctx context.Context, host string) (group.State, error) {
+	if words := strings.Fields(host); len(words) != 1 || words[0] != host || host == none {
+		return group.State{}, &LiteralError{Got: host, Want: "a name of one word other than " + strconv.Quote(none)}
+	}
 	return c.query(ctx, "poplar_lead", host)
 }
 
@@ -232,7 +236,10 @@
 	if len(words) != statusWords {
 		return group.State{}, &member.StatusError{Got: fmt.Sprintf("%d words", len(words)), Want: fmt.Sprint(statusWords)}
 	}
-	s := group.State{LeaseHolder: strings.TrimPrefix(words[7], none)}
+	s := group.State{}
+	if words[7] != none {
+		s.LeaseHolder = words[7]
+	}
 	switch words[0] {
 	case "primary":
 		s.Role = group.Primary
--- a/internal/pgmem/names_test.go
+++ b/internal/pgmem/names_test.go
@@ -83,3 +83,27 @@
 	_, _ = control.Evict(t.Context(), `a\'b\`)
 	g.Expect(queries).To(Receive(Equal(`SELECT poplar_evict('a\\''b\\')`)))
 }
+
+// TestLeaseHolderOfSeveralWordsIsRefused guards against a name of a host that makes a member's state
+// unreadable for all hosts, and against one that they read as another name.
+func TestLeaseHolderOfSeveralWordsIsRefused(t *testing.T) {
+	for _, name := range []string{"north 1", "tab\there", "", "-", " x", "no\u00a0break"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			control := newControl(t, name)
+			_, err := control.AcquireSlotLease(t.Context(), name)
+			g.Expect(err).To(MatchError(&pgmem.LiteralError{Got: name, Want: `a name of one word other than "-"`}))
+			state, err := control.Ask(t.Context(), true)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(state.LeaseHolder).To(BeEmpty())
+		})
+	}
+	for _, name := range []string{"host-1", "-1", "--", "o'brien"} {
+		t.Run(name, func(t *testing.T) {
+			g := NewWithT(t)
+			state, err := newControl(t, name).AcquireSlotLease(t.Context(), name)
+			g.Expect(err).NotTo(HaveOccurred())
+			g.Expect(state.LeaseHolder).To(Equal(name))
+		})
+	}
+}
--- a/internal/pgmem/pool_test.go
+++ b/internal/pgmem/pool_test.go
@@ -175,13 +175,14 @@
 func FuzzParseState(f *testing.F) {
 	f.Add("primary 3 3 3 120 120 0 host-1 1:0,3:100")
 	f.Add("replica 1 0 0 0 0 0 - -")
+	f.Add("replica 1 0 0 0 0 0 --1 -")
 	f.Fuzz(func(t *testing.T, text string) {
 		s, err := pgmem.ParseState(text)
 		if err != nil {
 			return
 		}
 		again, err := pgmem.ParseState(pgmem.FormatState(s))
-		if err != nil || again.LastEntry() != s.LastEntry() || again.Fence != s.Fence {
+		if err != nil || again.LastEntry() != s.LastEntry() || again.Fence != s.Fence || again.LeaseHolder != s.LeaseHolder {
 			t.Fatalf("state %q: got %v after a round trip, want %v (%v)", text, again, s, err)
 		}
 	})
