Read the address of a member as an address only

What operators saw: an address in the list of databases with more than an IP and a port was read as a connection string: "127.0.0.1:5432/?options=..." set options of every connection, "user:password@host:port" and "/database" were taken, and of "a:1,b:1" the proxy used the first. An IPv6 address with a zone was not reached. An address without a port meant port 5432 for statements and nothing for cancel requests.

Cause: the address was put into a URL as it was.

Change: host and port are split and set as such. Any other text is an *AddressError.

Evidence: TestAddressIsNoConnectionString failed before: "127.0.0.1:44677/other": <nil>, want an error. Now it passes.

--- a/internal/pgmem/names_test.go
+++ b/internal/pgmem/names_test.go
@@ -1,7 +1,9 @@
 package pgmem_test
 
 import (
+	"errors"
 	"net"
+	"strings"
 	"testing"
 
 	"github.com/jackc/pgx/v5/pgproto3"
@@ -107,3 +109,27 @@
 		})
 	}
 }
+
+// TestAddressIsNoConnectionString guards against an address in the list of databases that is read as
+// options of the connection, another user or another host.
+func TestAddressIsNoConnectionString(t *testing.T) {
+	g := NewWithT(t)
+	m, cleanUp, err := labdb.New(labdb.Options{Address: "127.0.0.1:0"})
+	g.Expect(err).NotTo(HaveOccurred())
+	t.Cleanup(cleanUp)
+	login := pgmem.Login{User: "u", Host: "host-1"}
+	for _, address := range []string{
+		m.Address() + "/other", m.Address() + "/?options=-c%20x=y", "u:secret@" + m.Address(), m.Address() + "," + m.Address(),
+		m.Address() + "?", m.Address() + "#", "127.0.0.1", "/tmp:5432", "", " " + m.Address(),
+	} {
+		_, err := pgmem.NewControlConn(address, login).Ask(t.Context(), true)
+		var invalid *pgmem.AddressError
+		g.Expect(errors.As(err, &invalid)).To(BeTrue(), "%q: %v", address, err)
+	}
+	for _, address := range []string{m.Address(), "[::ffff:127.0.0.1]" + strings.TrimPrefix(m.Address(), "127.0.0.1")} {
+		_, err := pgmem.NewControlConn(address, login).Ask(t.Context(), true)
+		g.Expect(err).NotTo(HaveOccurred(), address)
+	}
+	_, err = pgmem.NewControlConn("[fe80::1%lo]:1", login).Ask(t.Context(), true)
+	g.Expect(err).To(MatchError(ContainSubstring("fe80::1%lo")), "an address with a zone is dialled")
+}
--- a/internal/pgmem/pgmem.go
+++ b/internal/pgmem/pgmem.go
@@ -6,6 +6,9 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
+	"strconv"
+	"strings"
 	"sync/atomic"
 	"time"
 
@@ -31,12 +34,19 @@
 	Dial DialFunc
 }
 
-// config returns the configuration of a connection to address (IP:port).
+// config returns the configuration of a connection to address (IP:port, or a name in place of the
+// IP). It returns *AddressError for any other text.
 func (l Login) config(address string) (*pgconn.Config, error) {
-	c, err := pgconn.ParseConfig(fmt.Sprintf("postgres://%s/?sslmode=disable", address))
+	host, port, err := splitAddress(address)
 	if err != nil {
 		return nil, err
 	}
+	// The host and the port are named so that the environment does not determine them.
+	c, err := pgconn.ParseConfig("host=localhost port=5432 sslmode=disable")
+	if err != nil {
+		return nil, err
+	}
+	c.Host, c.Port = host, port
 	c.User, c.Password, c.Database = l.User, l.Password, l.Database
 	c.RuntimeParams["application_name"] = l.Host
 	c.Fallbacks = nil
@@ -46,6 +56,41 @@
 	return c, nil
 }
 
+// AddressError reports a text that is not the address of a member.
+type AddressError struct{ Got string }
+
+// Error implements error.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("connect to member: got address %q, want an IP or a name and a port", e.Got)
+}
+
+func splitAddress(address string) (host string, port uint16, err error) {
+	invalid := &AddressError{Got: address}
+	host, portText, err := net.SplitHostPort(address)
+	if err != nil {
+		return "", 0, invalid
+	}
+	number, err := strconv.ParseUint(portText, 10, 16)
+	if err != nil || number == 0 {
+		return "", 0, invalid
+	}
+	if _, err := netip.ParseAddr(host); err != nil && !isHostName(host) {
+		return "", 0, invalid
+	}
+	return host, uint16(number), nil
+}
+
+// isHostName reports whether a text has only characters of names of hosts.
+func isHostName(text string) bool {
+	for i := range len(text) {
+		b := text[i]
+		if !strings.ContainsRune("-._", rune(b)) && (b < '0' || b > '9') && (b|0x20 < 'a' || b|0x20 > 'z') {
+			return false
+		}
+	}
+	return text != ""
+}
+
 // Conn is a logged-in connection to a member.
 type Conn struct {
 	*pgproto3.Frontend
