Split start-up options where PostgreSQL splits them

What callers saw: options with an escaped blank, such as "-c application_name=x\ poplarrouter.kind=stock", set the kind of work from a part of another setting's value. After a value that ends in -c the next setting was joined to it and lost, so that the session's work ran with the rank and access of unlabelled work. Escapes stayed in kinds.

Cause: all "-c " were joined to what follows, and the text was split at blanks only.

Change: words are split as PostgreSQL does, with backslashes as escapes.

Evidence: the spec "start-up options are split as PostgreSQL splits them" failed before for "-c poplarrouter.kind=st\ock": got "st\ock", want "stock". Now it passes.

--- a/internal/pgfrt/login.go
+++ b/internal/pgfrt/login.go
@@ -107,8 +107,8 @@
 // readOptions reads the proxy's settings from a start-up option such as
 // "-c poplarrouter.kind=stock". It ignores other settings, for which the member's defaults apply.
 func (s *session) readOptions(options string) error {
-	for field := range strings.FieldsSeq(strings.ReplaceAll(options, "-c ", "-c")) {
-		name, value, found := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(field, "--"), "-c"), "=")
+	for _, word := range splitOptions(options) {
+		name, value, found := strings.Cut(strings.TrimPrefix(strings.TrimPrefix(word, "--"), "-c"), "=")
 		if !found {
 			continue
 		}
@@ -119,6 +119,30 @@
 	return nil
 }
 
+// splitOptions splits start-up options into words as PostgreSQL does: at white space, where a
+// backslash makes the next byte part of the word.
+func splitOptions(options string) []string {
+	var words []string
+	var word []byte
+	for i := 0; i < len(options); i++ {
+		switch b := options[i]; b {
+		case ' ', '\t', '\n', '\v', '\f', '\r':
+			if word != nil {
+				words, word = append(words, string(word)), nil
+			}
+		case '\\':
+			i++
+			word = append(word, options[min(i, len(options)):min(i+1, len(options))]...)
+		default:
+			word = append(word, b)
+		}
+	}
+	if word != nil {
+		words = append(words, string(word))
+	}
+	return words
+}
+
 // set applies one of the proxy's settings and ignores other settings.
 func (s *session) set(name, value string) error {
 	switch strings.ToLower(name) {
