Refuse objects of the store that are over the limit

What operators saw: an object over 1 MiB, which another writer can put, was cut there and read as a whole one: its contents were reported as not being JSON, whatever they were, or a shorter document was taken where the cut left one.

Cause: the client read at most as many bytes as an object may have.

Change: it reads one more, and a longer object is a *SizeError, which names the call.

Evidence: TestObjectOverTheLimitIsRefused failed before: no error for an object of one byte over. TestKeysReachTheStoreAsTheyAre is new and passed before: keys in URLs and the stand-in's parsing of them were sound.

--- a/internal/store/http.go
+++ b/internal/store/http.go
@@ -70,7 +70,7 @@
 // Put implements Store.
 func (h *HTTP) Put(ctx context.Context, key string, value []byte, previous Version) (Version, error) {
 	if len(value) > MaxValue {
-		return "", &SizeError{Key: key, Got: len(value), Max: MaxValue}
+		return "", &SizeError{Op: "put", Key: key, Got: len(value), Max: MaxValue}
 	}
 	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
 	defer cancel()
@@ -122,7 +122,7 @@
 	defer func() { _ = response.Body.Close() }()
 	switch response.StatusCode {
 	case http.StatusOK:
-		return readObject(response)
+		return readObject(response, op, key)
 	case http.StatusNotFound:
 		return Object{}, &MissingError{Key: key}
 	case http.StatusNotModified:
@@ -132,11 +132,14 @@
 	}
 }
 
-func readObject(response *http.Response) (Object, error) {
-	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValue))
+func readObject(response *http.Response, op, key string) (Object, error) {
+	value, err := io.ReadAll(io.LimitReader(response.Body, MaxValue+1))
 	if err != nil {
 		return Object{}, err
 	}
+	if len(value) > MaxValue {
+		return Object{}, &SizeError{Op: op, Key: key, Got: len(value), Max: MaxValue}
+	}
 	return Object{Version: Version(response.Header.Get("ETag")), Value: value}, nil
 }
 
--- a/internal/store/http_test.go
+++ b/internal/store/http_test.go
@@ -1,6 +1,7 @@
 package store_test
 
 import (
+	"errors"
 	"net/http/httptest"
 	"strings"
 	"testing"
@@ -40,3 +41,53 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(o.Version).To(Equal(second))
 }
+
+// TestObjectOverTheLimitIsRefused guards against an object of another writer that is cut at the limit
+// and read as a whole one.
+func TestObjectOverTheLimitIsRefused(t *testing.T) {
+	g := NewWithT(t)
+	memory := labkv.New()
+	server := httptest.NewServer(memory)
+	t.Cleanup(server.Close)
+	client, cleanUp := store.New(strings.TrimPrefix(server.URL, "http://"), 100*time.Millisecond)
+	t.Cleanup(cleanUp)
+	largest := strings.Repeat("x", store.MaxValue)
+	for key, value := range map[string]string{"Sheet": largest, "Hosts": largest + "y"} {
+		_, err := memory.Put(t.Context(), key, []byte(value), "")
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+	o, err := client.Get(t.Context(), "Sheet")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(o.Value).To(HaveLen(store.MaxValue))
+	for _, read := range []func() (store.Object, error){
+		func() (store.Object, error) { return client.Get(t.Context(), "Hosts") },
+		func() (store.Object, error) { return client.Watch(t.Context(), "Hosts", "") },
+		func() (store.Object, error) { return client.Confirm(t.Context(), "Hosts", "") },
+	} {
+		_, err := read()
+		var size *store.SizeError
+		g.Expect(errors.As(err, &size)).To(BeTrue(), "%v", err)
+		g.Expect(size.Key).To(Equal("Hosts"))
+		g.Expect(size.Got).To(BeNumerically(">", store.MaxValue))
+	}
+}
+
+// TestKeysReachTheStoreAsTheyAre guards against keys with characters of URLs that name another object.
+func TestKeysReachTheStoreAsTheyAre(t *testing.T) {
+	g := NewWithT(t)
+	memory := labkv.New()
+	server := httptest.NewServer(memory)
+	t.Cleanup(server.Close)
+	client, cleanUp := store.New(strings.TrimPrefix(server.URL, "http://"), 100*time.Millisecond)
+	t.Cleanup(cleanUp)
+	for _, key := range []string{"a", "a/b", "a?Seen=x&WaitMs=0", "a%2fb", "a%", "a#b", "a b", "a+b", "ö", "a/../b", "//a", "a;b", "a\x00b", `a"b`} {
+		version, err := client.Put(t.Context(), key, []byte(key), "")
+		g.Expect(err).NotTo(HaveOccurred(), key)
+		o, err := memory.Get(t.Context(), key)
+		g.Expect(err).NotTo(HaveOccurred(), key)
+		g.Expect(string(o.Value)).To(Equal(key))
+		o, err = client.Get(t.Context(), key)
+		g.Expect(err).NotTo(HaveOccurred(), key)
+		g.Expect(o).To(Equal(store.Object{Version: version, Value: []byte(key)}))
+	}
+}
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -90,12 +90,14 @@
 
 // SizeError reports a value that is larger than the store accepts.
 type SizeError struct {
+	Op  string
 	Key string
+	// Got is the size of the value in bytes, or how many were read of it.
 	Got int
 	Max int
 }
 
 // Error implements error.
 func (e *SizeError) Error() string {
-	return fmt.Sprintf("put %s: got %d bytes, want at most %d", e.Key, e.Got, e.Max)
+	return fmt.Sprintf("%s %s: got %d bytes, want at most %d", e.Op, e.Key, e.Got, e.Max)
 }
