Keep literals as they are in the stand-in of members

What operators saw: nothing; only the stand-in of members is concerned. It stored '$5' as '?5', also inside literals, names and comments, and cut a query string at a semicolon in a quoted name or a comment. A test could not show that a statement runs as it was sent.

Cause: parameters were rewritten by a pattern, and only single quotes counted for the cut at semicolons.

Change: both go through the text with literals, quoted names and comments left out.

Evidence: TestLiteralsAreKept failed before for "'" || '$2;': "unrecognized token: "'?2"". It passes now, and ./internal/labset does.

--- a/internal/labdb/engine.go
+++ b/internal/labdb/engine.go
@@ -5,7 +5,6 @@
 	"database/sql"
 	"os"
 	"path/filepath"
-	"regexp"
 	"strings"
 
 	// The driver registers itself as "sqlite".
@@ -58,7 +57,8 @@
 		return err
 	}
 	for _, st := range entry.Statements {
-		if _, err := tx.ExecContext(ctx, placeholders(st.SQL), values(st.Args)...); err != nil {
+		text, _ := placeholders(st.SQL)
+		if _, err := tx.ExecContext(ctx, text, values(st.Args)...); err != nil {
 			_ = tx.Rollback()
 			return err
 		}
@@ -91,13 +91,6 @@
 	return nil
 }
 
-var dollar = regexp.MustCompile(`\$([0-9]+)`)
-
-// placeholders rewrites $1 to ?1.
-func placeholders(text string) string {
-	return dollar.ReplaceAllString(text, "?$1")
-}
-
 func values(args []*string) []any {
 	list := make([]any, 0, len(args))
 	for _, a := range args {
--- a/internal/labdb/rows.go
+++ b/internal/labdb/rows.go
@@ -33,7 +33,8 @@
 }
 
 func (s *session) query(ctx context.Context, p portal, described bool, word string) error {
-	rows, err := s.tx.QueryContext(ctx, placeholders(p.text), values(p.args)...)
+	text, _ := placeholders(p.text)
+	rows, err := s.tx.QueryContext(ctx, text, values(p.args)...)
 	if err != nil {
 		return err
 	}
--- a/internal/labdb/run.go
+++ b/internal/labdb/run.go
@@ -57,29 +57,6 @@
 	}
 }
 
-// split cuts a query string at semicolons outside quotes.
-func split(text string) []string {
-	var parts []string
-	quoted, from := false, 0
-	for i, r := range text {
-		if r == '\'' {
-			quoted = !quoted
-		}
-		if r == ';' && !quoted {
-			parts = append(parts, text[from:i])
-			from = i + 1
-		}
-	}
-	parts = append(parts, text[from:])
-	var list []string
-	for _, p := range parts {
-		if p = strings.TrimSpace(p); p != "" {
-			list = append(list, p)
-		}
-	}
-	return list
-}
-
 func firstWord(text string) string {
 	fields := strings.Fields(text)
 	if len(fields) == 0 {
@@ -271,7 +248,8 @@
 	if strings.Contains(strings.ToUpper(p.text), "RETURNING") {
 		return s.query(ctx, p, described, tagWord(p.text))
 	}
-	result, err := s.tx.ExecContext(ctx, placeholders(p.text), values(p.args)...)
+	text, _ := placeholders(p.text)
+	result, err := s.tx.ExecContext(ctx, text, values(p.args)...)
 	if err != nil {
 		return err
 	}
--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -274,8 +274,6 @@
 	}
 }
 
-var highestDollar = regexp.MustCompile(`\$([0-9]+)`)
-
 func (s *session) describe(ctx context.Context, msg *pgproto3.Describe) error {
 	if msg.ObjectType == 'P' {
 		p := s.portals[msg.Name]
@@ -285,11 +283,7 @@
 	if !found {
 		return &stateError{"26000", "no prepared statement " + strconv.Quote(msg.Name)}
 	}
-	highest := 0
-	for _, match := range highestDollar.FindAllStringSubmatch(text, -1) {
-		n, _ := strconv.Atoi(match[1])
-		highest = max(highest, n)
-	}
+	_, highest := placeholders(text)
 	s.backend.Send(&pgproto3.ParameterDescription{ParameterOIDs: make([]uint32, highest)})
 	return s.describeText(ctx, text, make([]*string, highest), nil)
 }
@@ -302,7 +296,8 @@
 		s.backend.Send(&pgproto3.NoData{})
 		return nil
 	}
-	rows, err := s.querier().QueryContext(ctx, placeholders(text), values(args)...)
+	rewritten, _ := placeholders(text)
+	rows, err := s.querier().QueryContext(ctx, rewritten, values(args)...)
 	if err != nil {
 		return &stateError{stateSyntax, err.Error()}
 	}
