Do not use connections again after SET in a transaction

What callers saw: a SET in one request of a transaction, with the COMMIT in a later one, stayed on the pooled connection, so that members ran other callers' statements by it: for example with another search_path, or with other rules for backslashes in literals.

Cause: only the answer to the request that held the SET said that the connection must not be used again. The connection is released after the last request.

Change: the connection itself remembers it.

Evidence: TestSettingOfATransactionDoesNotOutliveIt failed before at "the connection is not used again": got false. It passes now.

--- a/internal/pgmem/pgmem.go
+++ b/internal/pgmem/pgmem.go
@@ -100,6 +100,8 @@
 	SecretKey []byte
 	// Prepared holds the names of the statements prepared on this connection.
 	Prepared map[string]struct{}
+	// Dirty is set once a request has changed session settings of the connection.
+	Dirty bool
 
 	address string
 	reads   *readTracker
--- a/internal/pgrun/pgrun.go
+++ b/internal/pgrun/pgrun.go
@@ -77,7 +77,8 @@
 	defer x.SetDeadline(time.Time{})
 	answer, err := wire.Relay(conn.Frontend, x.Writer, plan, conn.Prepared, limit)
 	x.answer = answer
-	result := chain.Answer{Idle: answer.Status == wire.Idle, Whole: answer.Whole, Dirty: answer.Dirty || len(conn.Prepared) > maxPrepared}
+	conn.Dirty = conn.Dirty || answer.Dirty
+	result := chain.Answer{Idle: answer.Status == wire.Idle, Whole: answer.Whole, Dirty: conn.Dirty || len(conn.Prepared) > maxPrepared}
 	if err != nil {
 		return result, err
 	}
