Do not share names that callers give at a connection

What callers saw: a statement named by PREPARE stayed on the pooled connection, where EXECUTE of another caller with the same name ran it, as did a caller's own name that is one of the proxy's (DEALLOCATE and PREPARE of poplar_...). After DEALLOCATE ALL or DISCARD ALL the proxy went on to use the statements that it had prepared there, so that other callers' requests failed (26000). Notifications for LISTEN went to other callers.

Cause: of the commands that leave names of callers at a connection, or remove those of the proxy, only SET was noticed.

Change: a connection is not used again after PREPARE, DEALLOCATE and LISTEN, and after DEALLOCATE ALL and DISCARD ALL it counts as one with no prepared statements.

Evidence: TestNamesOfCallersDoNotOutliveTheirConnection failed before, first for PREPARE: got false, want true. It passes now. Not run against PostgreSQL; the tags are those of its protocol.

--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -45,7 +45,8 @@
 	// Whole is set if the member answered every message of the batch, or answered with an
 	// error after which it skips the remainder.
 	Whole bool
-	// Dirty is set if the batch changed session settings of the connection.
+	// Dirty is set if the batch changed session settings of the connection, or left names there
+	// that a caller chose.
 	Dirty bool
 }
 
@@ -110,7 +111,7 @@
 		return false
 	case *pgproto3.CommandComplete:
 		r.answer.Completed++
-		r.answer.Dirty = r.answer.Dirty || bytes.Equal(msg.CommandTag, []byte("SET"))
+		r.noteState(msg.CommandTag)
 		if r.limit > 0 {
 			r.to.StartHolding()
 		}
@@ -126,6 +127,16 @@
 	return false
 }
 
+// noteState records what a completed command did to the state of the connection.
+func (r *relay) noteState(tag []byte) {
+	switch string(tag) {
+	case "SET", "PREPARE", "DEALLOCATE", "LISTEN":
+		r.answer.Dirty = true
+	case "DEALLOCATE ALL", "DISCARD ALL":
+		clear(r.prepared)
+	}
+}
+
 func (r *relay) parseComplete(msg *pgproto3.ParseComplete) {
 	if len(r.plan.parses) == 0 {
 		r.to.Put(msg)
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -189,3 +189,22 @@
 	_, err = wire.Relay(&scripted{messages: []pgproto3.BackendMessage{complete, row}}, w, &wire.Plan{}, nil, 100)
 	g.Expect(fault.FromError(err).Kind).To(Equal(fault.Oversized))
 }
+
+// TestNamesOfCallersDoNotOutliveTheirConnection guards against a connection that is used again with
+// statements that one caller named and another runs, or with notifications that one caller asked for.
+func TestNamesOfCallersDoNotOutliveTheirConnection(t *testing.T) {
+	g := NewWithT(t)
+	for tag, want := range map[string]struct{ dirty, empty bool }{
+		"SET": {dirty: true}, "PREPARE": {dirty: true}, "DEALLOCATE": {dirty: true}, "LISTEN": {dirty: true},
+		"DEALLOCATE ALL": {empty: true}, "DISCARD ALL": {empty: true},
+		"SELECT 1": {}, "INSERT 0 1": {}, "BEGIN": {}, "COMMIT": {}, "": {}, "SETTLE": {}, "DISCARD PLANS": {}, "CREATE TABLE": {},
+	} {
+		prepared := map[string]struct{}{"poplar_1": {}}
+		answer, err := wire.Relay(&scripted{messages: []pgproto3.BackendMessage{
+			&pgproto3.CommandComplete{CommandTag: []byte(tag)}, &pgproto3.ReadyForQuery{TxStatus: wire.Idle},
+		}}, wire.NewWriter(&sink{}), &wire.Plan{}, prepared, 0)
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(answer.Dirty).To(Equal(want.dirty), tag)
+		g.Expect(prepared).To(HaveLen(map[bool]int{true: 0, false: 1}[want.empty]), tag)
+	}
+}
