--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -43,13 +43,18 @@
 	Simple bool
 	// FirstStatement is the text of the first statement that the batch prepares or uses.
 	FirstStatement string
-	// Local is the statement that the proxy answers itself, or nil.
+	// Local is the statement that the proxy answers itself, or nil. The batch then prepares and
+	// uses no other statement.
 	Local *LocalStatement
 
+	// recorded is set once FirstStatement and Local are.
+	recorded   bool
 	items      []item
 	bytes      int
 	executions int
-	parses     map[string][]byte
+	// parses holds the encoded Parse message of each statement that the batch uses, by the name
+	// at members. Of the unnamed statement it is the one that the batch uses first.
+	parses map[string][]byte
 }
 
 // statement is a prepared statement of a session.
@@ -116,8 +121,9 @@
 func (c *Collector) query(msg *pgproto3.Query) (*Batch, error) {
 	b := c.batch
 	b.Simple = true
-	b.FirstStatement = msg.String
-	b.Local = parseLocal(msg.String)
+	if err := c.recordText(msg.String); err != nil {
+		return nil, err
+	}
 	return c.finish(msg)
 }
 
@@ -218,16 +224,24 @@
 	if err := c.setStatement(callerName, statement{name: renamed.Name, text: msg.Query, raw: raw}); err != nil {
 		return err
 	}
-	c.recordText(msg.Query)
+	if err := c.recordText(msg.Query); err != nil {
+		return err
+	}
 	return c.add(parseItem, renamed.Name, renamed)
 }
 
-// recordText records the text of a statement if it is the first of the batch.
-func (c *Collector) recordText(text string) {
-	if c.batch.FirstStatement == "" {
-		c.batch.FirstStatement = text
-		c.batch.Local = parseLocal(text)
+// recordText records the text of a statement of the batch. It returns a Protocol fault for a
+// statement that the proxy answers itself in a batch with another one.
+func (c *Collector) recordText(text string) error {
+	b, local := c.batch, parseLocal(text)
+	if !b.recorded {
+		b.recorded, b.FirstStatement, b.Local = true, text, local
+		return nil
+	}
+	if (b.Local == nil && local == nil) || (b.Local != nil && local != nil && *b.Local == *local) {
+		return nil
 	}
+	return fault.New(fault.Protocol, "read request", "got a setting of the proxy and another statement in one request, want a request for each")
 }
 
 // useStatement looks up a statement and records that the batch needs it.
@@ -236,9 +250,10 @@
 	if !found {
 		return "", fault.New(fault.Protocol, "read request", "got statement %q, want a prepared statement", callerName)
 	}
-	c.batch.parses[st.name] = st.raw
-	c.recordText(st.text)
-	return st.name, nil
+	if _, used := c.batch.parses[st.name]; !used {
+		c.batch.parses[st.name] = st.raw
+	}
+	return st.name, c.recordText(st.text)
 }
 
 func (c *Collector) bind(msg *pgproto3.Bind) error {
@@ -262,16 +277,21 @@
 	return c.add(useItem, name, &pgproto3.Describe{ObjectType: 'S', Name: name})
 }
 
-// absentPortal is the name of a portal that is never opened. A Close message for it replaces a
-// message that is not forwarded, so that the member answers at that place of the batch.
-const absentPortal = "poplar_absent"
+// absentStatement is a name that no statement has at members. A Close message for it replaces a
+// message that is not forwarded, so that the member answers at that place of the batch. It is not
+// the name of a portal, because callers choose those.
+const absentStatement = "poplar_absent"
+
+func closeAbsent() *pgproto3.Close {
+	return &pgproto3.Close{ObjectType: 'S', Name: absentStatement}
+}
 
 func (c *Collector) close(msg *pgproto3.Close) error {
 	if msg.ObjectType != 'S' {
 		return c.add(closeItem, "", msg)
 	}
 	c.dropStatement(msg.Name)
-	return c.add(closeItem, "", &pgproto3.Close{ObjectType: 'P', Name: absentPortal})
+	return c.add(closeItem, "", closeAbsent())
 }
 
 // Reset discards an incomplete batch. The session calls it after a fault, and skips messages until
@@ -294,7 +314,7 @@
 		p.parses = append(p.parses, parseStep{name: name, suppress: true})
 		added[name] = true
 	}
-	absent, _ := (&pgproto3.Close{ObjectType: 'P', Name: absentPortal}).Encode(nil)
+	absent, _ := closeAbsent().Encode(nil)
 	for _, it := range b.items {
 		switch it.kind {
 		case parseItem:
@@ -304,6 +324,7 @@
 				continue
 			}
 			p.parses = append(p.parses, parseStep{name: it.statement})
+			added[it.statement] = true
 		case closeItem:
 			p.closes = append(p.closes, closeStep{})
 		case plainItem, useItem:
