Check the kinds of faults that other hosts name

What operators would see: a process that ends with "index out of range [21] with length 21" when another host answers a relayed job, or refuses a permit, with a fault that this release does not have, as a later release may. A permit refused with a fault of unknown outcome also told the caller that work may have run that was never sent.

Cause: the number in the frame was used as an index of the table of faults without being checked.

Change: an outcome with an unknown fault is a Severed one, because it is not known whether the job ran. A permit refused with an unknown fault, or with one of unknown outcome, is an Undispatched one. The text of the other host is kept.

--- a/internal/gate/request.go
+++ b/internal/gate/request.go
@@ -159,7 +159,7 @@
 		r.answer <- answer{expires: expires}
 	case waiting:
 		delete(lm.requests, g.ID)
-		r.answer <- answer{err: fault.New(g.Refusal, "wait for slot", "%s", g.Detail)}
+		r.answer <- answer{err: refusalOf(g)}
 	case isHeld:
 		h.next = g.ReuseID
 		if expires := h.expiry(g); expires.After(h.expires) {
@@ -170,6 +170,15 @@
 	}
 }
 
+// refusalOf returns the fault of a grant that refuses a permit. Whatever the lease holder says, the
+// work was not sent.
+func refusalOf(g peer.Grant) *fault.Error {
+	if !g.Refusal.Known() || g.Refusal.Outcome() != fault.NotRun {
+		return fault.New(fault.Undispatched, "wait for slot", "got fault %d from the lease holder, want one of work that was not run: %s", uint8(g.Refusal), g.Detail)
+	}
+	return fault.New(g.Refusal, "wait for slot", "%s", g.Detail)
+}
+
 // reuserOf returns the request that now uses the permit of an ended one, or 0 if none
 // does. The lock must be held.
 func (lm *LeaseManager) reuserOf(ended uint64) uint64 {
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -143,6 +143,10 @@
 		c.owner.setDraining()
 	}
 	if o.Failed {
+		if !o.Fault.Known() {
+			// What a kind of another release says about the outcome is not known.
+			return fault.New(fault.Severed, "run at "+c.owner.host.Name, "got fault %d, want one of this release: %s", uint8(o.Fault), o.Text)
+		}
 		return fault.New(o.Fault, "run at "+c.owner.host.Name, "%s", o.Text)
 	}
 	x.Finish(o.Reply)
--- a/pkg/fault/fault.go
+++ b/pkg/fault/fault.go
@@ -129,6 +129,10 @@
 	return list
 }
 
+// Known reports whether the kind is one of Kinds. Another host may send a different one. The
+// other methods of a kind that is not known panic.
+func (k Kind) Known() bool { return k < kinds }
+
 // SQLState returns the five-character SQLSTATE code that callers receive.
 func (k Kind) SQLState() string { return classes[k].sqlState }
 
