Cut long texts in all log lines

What operators would see: a log line of several MiB, for example of event 604 for each change of an entry of another writer whose zone or address is 1 MiB long, or of event 602 for a document with many faults. poplarrouter replay and explain end with "token too long" on such a line.

Cause: only texts in lines about callers and requests were cut, and only those of the type string. Causes quote what other writers and hosts sent.

Change: texts in all other lines but those of elections are cut at 16 KiB, also those of named types such as the kind of a document.

Evidence: TestTextsOfOthersAreShortened failed before with a line of 7,340,142 bytes (want less than 262,144).

--- a/internal/event/limit.go
+++ b/internal/event/limit.go
@@ -1,6 +1,7 @@
 package event
 
 import (
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -108,19 +109,37 @@
 // Suppressed returns the number of all lines that were suppressed.
 func (l *Limiter) Suppressed() uint64 { return l.total.Load() }
 
-// maxText is the length in bytes of the longest text that callers can put into a field.
-const maxText = 1024
+// The lengths in bytes of the longest texts in fields: those of callers in lines about callers and
+// requests, and those of other writers and hosts in all other lines.
+const (
+	maxText      = 1 << 10
+	maxOtherText = 1 << 14
+)
 
-// shorten shortens the texts of lines about callers and requests, which may contain what a
-// caller sent: a message of 1 MiB would otherwise wait in the ring as a whole.
+// shorten shortens the texts of a line. They may contain what a caller, a member, another host or
+// another writer of the store sent: a message or an entry of 1 MiB would otherwise wait in the ring
+// as a whole, and make a line that readers of the log do not accept. Records of elections are not
+// texts, and are kept whole.
 func shorten(e Event, fields Fields) {
 	const firstCaller, endRequest = 200, 400
-	if e < firstCaller || e >= endRequest {
+	limit := maxOtherText
+	switch {
+	case e == ElectionStep:
 		return
+	case e >= firstCaller && e < endRequest:
+		limit = maxText
 	}
 	for name, value := range fields {
-		if text, ok := value.(string); ok && len(text) > maxText {
-			fields[name] = strings.ToValidUTF8(text[:maxText], "") + "..."
+		text, ok := value.(string)
+		if !ok {
+			v := reflect.ValueOf(value)
+			if v.Kind() != reflect.String {
+				continue
+			}
+			text = v.String()
+		}
+		if len(text) > limit {
+			fields[name] = strings.ToValidUTF8(text[:limit], "") + "..."
 		}
 	}
 }
--- a/internal/event/limit_test.go
+++ b/internal/event/limit_test.go
@@ -75,3 +75,21 @@
 	g.Expect(len(out.String())).To(BeNumerically("<", 1<<13))
 	g.Expect(strings.Count(out.String(), "y")).To(BeNumerically(">=", 1<<12), "records of elections are whole")
 }
+
+// TestTextsOfOthersAreShortened guards against lines that hold a whole entry or document of another
+// writer: a line of several MiB, which no reader of the log accepts, for each change of it.
+func TestTextsOfOthersAreShortened(t *testing.T) {
+	type kind string
+	for _, e := range event.All() {
+		if e == event.ElectionStep {
+			continue
+		}
+		g := NewWithT(t)
+		var out bytes.Buffer
+		log, cleanUp := event.New(&out)
+		log.Emit(e, event.Fields{"Cause": strings.Repeat("x", 1<<20), "Kind": kind(strings.Repeat("\x01", 1<<20)), "Rank": 1})
+		cleanUp()
+		g.Expect(out.Len()).To(BeNumerically("<", 1<<18), "event %d", e)
+		g.Expect(out.String()).To(And(ContainSubstring("xxx..."), ContainSubstring(`"Rank":1`)))
+	}
+}
