Read logs with lines of any length

Lines of earlier releases may contain a whole entry or document of another writer.

Cause: both commands read lines with a fixed buffer.

Change: event.Lines reads lines of any length, for both commands.

--- a/internal/trace/trace.go
+++ b/internal/trace/trace.go
@@ -9,7 +9,6 @@
 package trace
 
 import (
-	"bufio"
 	"bytes"
 	"encoding/json"
 	"fmt"
@@ -117,33 +116,28 @@
 // Unwrap returns the cause.
 func (e *LineError) Unwrap() error { return e.Cause }
 
-// maxLine bounds the length of a log line, in bytes.
-const maxLine = 1 << 20
-
 // Read returns the records of a database from a proxy's log. Lines of other events are
 // skipped. It returns a *LineError for a line that is not a JSON object.
 func Read(log io.Reader, database string) ([]Record, error) {
 	var records []Record
-	lines := bufio.NewScanner(log)
-	lines.Buffer(nil, maxLine)
 	n := 0
-	for lines.Scan() {
+	for raw, err := range event.Lines(log) {
 		n++
+		if err != nil {
+			return nil, &LineError{Line: n, Cause: err}
+		}
 		var line struct {
 			Event    event.Event
 			Database string
 			Record   Record
 		}
-		if err := json.Unmarshal(lines.Bytes(), &line); err != nil {
+		if err := json.Unmarshal(raw, &line); err != nil {
 			return nil, &LineError{Line: n, Cause: err}
 		}
 		if line.Event == event.ElectionStep && line.Database == database {
 			records = append(records, line.Record)
 		}
 	}
-	if err := lines.Err(); err != nil {
-		return nil, &LineError{Line: n + 1, Cause: err}
-	}
 	return records, nil
 }
 
--- a/internal/trace/trace_test.go
+++ b/internal/trace/trace_test.go
@@ -59,3 +59,15 @@
 	var line *trace.LineError
 	g.Expect(err).To(BeAssignableToTypeOf(line))
 }
+
+// TestLongLinesOfOtherEventsAreSkipped guards against a log that cannot be replayed because another
+// line of it is long, such as that of an entry of another writer or of a crash.
+func TestLongLinesOfOtherEventsAreSkipped(t *testing.T) {
+	g := NewWithT(t)
+	recorded, err := os.ReadFile(filepath.Join("testdata", "switchover.jsonl"))
+	g.Expect(err).NotTo(HaveOccurred())
+	long := `{"Event":604,"Cause":"` + strings.Repeat("x", 2<<20) + `"}` + "\n"
+	records, err := trace.Read(strings.NewReader(long+string(recorded)+strings.TrimSpace(long)), "stock")
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(records).To(Equal(readRecords(g, "switchover")))
+}
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -6,7 +6,6 @@
 package trail
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"encoding/json"
@@ -16,10 +15,9 @@
 	"slices"
 	"strings"
 	"time"
-)
 
-// maxLine bounds the length of a log line, in bytes.
-const maxLine = 1 << 20
+	"poplarrouter.example/poplarrouter/internal/event"
+)
 
 // Line is a log line about the request.
 type Line struct {
@@ -52,10 +50,13 @@
 // a line, as log collectors add it, names the source of that line after the given one.
 func (t Trail) WithLog(source string, log io.Reader) (Trail, error) {
 	t.lines = slices.Clone(t.lines)
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		line, found, err := t.parse(source, scanner.Bytes())
+	var readErr error
+	for raw, err := range event.Lines(log) {
+		if err != nil {
+			readErr = err
+			break
+		}
+		line, found, err := t.parse(source, raw)
 		switch {
 		case err != nil:
 			t.skipped++
@@ -64,7 +65,7 @@
 		}
 	}
 	slices.SortStableFunc(t.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return t, scanner.Err()
+	return t, readErr
 }
 
 // hidden are the fields that are shown elsewhere or are the same in all lines.
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -46,3 +46,13 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(read.Lines()).To(HaveLen(1))
 }
+
+// TestLongLinesDoNotEndTheTrail guards against a request that cannot be traced because another line
+// of the log is long.
+func TestLongLinesDoNotEndTheTrail(t *testing.T) {
+	g := NewWithT(t)
+	long := `{"Event":604,"Request":"q2","Cause":"` + strings.Repeat("x", 2<<20) + `"}` + "\n"
+	read, err := trail.New("q1").WithLog("front-1", strings.NewReader(long+callersHost+strings.TrimSpace(long)))
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(read.Lines()).To(HaveLen(2))
+}
