Quote texts of others in the trail of a request

What operators saw: poplarrouter explain REQUEST-ID printed a label, a cause or a name as it was sent. A line end in it began a line that looked like one of a log, a blank and an equals sign looked like a further field, and an escape character reached the terminal.

Cause: values were joined to name=value without being encoded. Any caller or member can cause such a line.

Change: a value that contains an equals sign or a character that cannot be printed, or begins with a quotation mark, is quoted; so are the source and the name of a line.

Evidence: TestTextsOfCallersForgeNoLineOrField failed before, since the texts were printed unquoted.

--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -13,9 +13,11 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"poplarrouter.example/poplarrouter/internal/cli"
 	"poplarrouter.example/poplarrouter/internal/event"
 )
 
@@ -97,7 +99,8 @@
 }
 
 // Write prints the lines: the time since the first one, the source, the name of the event,
-// and the fields by name. Cause comes last, because it is the longest.
+// and the fields by name. Cause comes last, because it is the longest. Texts that could be taken for
+// something else are quoted.
 func (t Trail) Write(w io.Writer) error {
 	for _, line := range t.lines {
 		keys := slices.SortedFunc(maps.Keys(line.Fields), func(a, b string) int {
@@ -105,9 +108,9 @@
 		})
 		words := make([]string, 0, len(keys))
 		for _, key := range keys {
-			words = append(words, fmt.Sprintf("%s=%v", key, line.Fields[key]))
+			words = append(words, cli.Printable(key)+"="+field(line.Fields[key]))
 		}
-		_, err := fmt.Fprintf(w, "%+8.3fs  %s  %s  %s\n", line.Time.Sub(t.lines[0].Time).Seconds(), line.Source, line.Name, strings.Join(words, " "))
+		_, err := fmt.Fprintf(w, "%+8.3fs  %s  %s  %s\n", line.Time.Sub(t.lines[0].Time).Seconds(), cli.Printable(line.Source), cli.Printable(line.Name), strings.Join(words, " "))
 		if err != nil {
 			return err
 		}
@@ -115,6 +118,16 @@
 	return nil
 }
 
+// field returns a value as it is printed after its name. One that could be read as another field is
+// quoted.
+func field(value any) string {
+	text := fmt.Sprint(value)
+	if strings.Contains(text, "=") {
+		return strconv.Quote(text)
+	}
+	return cli.Printable(text)
+}
+
 func order(key string) int {
 	if key == "Cause" {
 		return 1
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -1,6 +1,7 @@
 package trail_test
 
 import (
+	"encoding/json"
 	"os"
 	"strings"
 	"testing"
@@ -56,3 +57,20 @@
 	g.Expect(err).NotTo(HaveOccurred())
 	g.Expect(read.Lines()).To(HaveLen(2))
 }
+
+// TestTextsOfCallersForgeNoLineOrField guards against a trail in which a text that a caller or a
+// member sent reads as another line, as another field, or as a command of the terminal.
+func TestTextsOfCallersForgeNoLineOrField(t *testing.T) {
+	g := NewWithT(t)
+	raw, err := json.Marshal(map[string]any{
+		"Name": "work-refused\nforged", "Request": "q1", "Time": "2026-12-04T10:00:00.100Z", "Label": "read Member=m2",
+		"Caller": "\x1b[2Janna", "Cause": "late\n  +0.100s  front-1  write-confirmed  Member=m2", "Plain": "two words", "Text": "", "Quoted": `"a" b`,
+		"List": []string{"a", "b=c\n"},
+	})
+	g.Expect(err).NotTo(HaveOccurred())
+	read, err := trail.New("q1").WithLog("front-1", strings.NewReader("col\x1b[2Jlector "+string(raw)+"\n"))
+	g.Expect(err).NotTo(HaveOccurred())
+	var out strings.Builder
+	g.Expect(read.Write(&out)).To(Succeed())
+	g.Expect(out.String()).To(Equal(`  +0.000s  "front-1 col\x1b[2Jlector"  "work-refused\nforged"  Caller="\x1b[2Janna" Label="read Member=m2" List="[a b=c\n]" Plain=two words Quoted="\"a\" b" Text= Cause="late\n  +0.100s  front-1  write-confirmed  Member=m2"` + "\n"))
+}
