Quote texts of others in tables of the command line

What operators saw: poplarrouter status, explain -settings and replay printed names of members, regions and operators and reasons as they are. A tab or a line end in one moved the following cells into other columns and rows, so that a member's role was shown as its region, and an escape character reached the terminal.

Cause: cells were written to the table, whose separators are tabs and line ends, without being encoded. Entries of other writers may contain anything.

Change: a cell that contains a character that cannot be printed, or begins with a quotation mark, is quoted. -json prints the texts as they are, as before.

Evidence: TestTextsOfOthersStayInTheirCells failed before: the row of member "m1\tsouth" of region "north\nstock" was printed as two rows, the second with member "primary" and region 0.

--- a/cmd/poplarrouter/operate.go
+++ b/cmd/poplarrouter/operate.go
@@ -92,12 +92,13 @@
 	}
 }
 
-// table writes aligned rows. Write errors are reported by Flush.
+// table writes aligned rows. Texts that would change the table or the terminal are quoted. Write
+// errors are reported by Flush.
 type table struct{ *tabwriter.Writer }
 
 func (t table) row(cells ...any) {
 	for _, cell := range cells {
-		_, _ = fmt.Fprintf(t, "%v\t", cell)
+		_, _ = fmt.Fprint(t, cli.Printable(fmt.Sprint(cell)), "\t")
 	}
 	_, _ = fmt.Fprintln(t)
 }
