Compare sheets by their lines, and quote what cannot be printed

What operators saw: poplarrouter sheet diff showed every row as removed and added if one of the sheets has lines that end in CR LF, as spreadsheets write them, although such a sheet means the same. Cells, and the operator named by sheet show, reached the terminal with escape characters.

Cause: the texts were split at LF only and printed as they are.

Change: CR LF ends a line like LF. A line or name with characters that cannot be printed is quoted. sheet show still prints the rows as they were loaded, so that they can be loaded again.

Evidence: TestDiffShowsWhatTheSheetMeans failed before with "-head\n-a,1\n-b,2\n+head\r\n+a,1\r\n+b,3\n" (want "-b,2\n+b,3\n").

--- a/cmd/poplarrouter/sheet.go
+++ b/cmd/poplarrouter/sheet.go
@@ -141,7 +141,7 @@
 	if err != nil {
 		return err
 	}
-	fmt.Fprintf(os.Stderr, "sheet %d, loaded by %s at %s\n", doc.Serial, doc.LoadedBy, doc.LoadedAt.Format(time.RFC3339))
+	fmt.Fprintf(os.Stderr, "sheet %d, loaded by %s at %s\n", doc.Serial, cli.Printable(doc.LoadedBy), doc.LoadedAt.Format(time.RFC3339))
 	fmt.Print(doc.CSV)
 	return nil
 }
@@ -156,19 +156,26 @@
 	if err != nil {
 		return err
 	}
-	current, proposed := lines(doc.CSV), lines(string(raw))
-	printMissing("-", current, proposed)
-	printMissing("+", proposed, current)
+	printDiff(os.Stdout, doc.CSV, string(raw))
 	return nil
 }
 
-func lines(text string) []string { return strings.Split(strings.TrimSpace(text), "\n") }
+func printDiff(out io.Writer, from, to string) {
+	current, proposed := lines(from), lines(to)
+	printMissing(out, "-", current, proposed)
+	printMissing(out, "+", proposed, current)
+}
+
+// lines returns the lines of a sheet, which may end in LF or CR LF.
+func lines(text string) []string {
+	return strings.Split(strings.ReplaceAll(strings.TrimSpace(text), "\r\n", "\n"), "\n")
+}
 
 // printMissing prints the elements of list that other does not contain, with a prefix.
-func printMissing(prefix string, list, other []string) {
+func printMissing(out io.Writer, prefix string, list, other []string) {
 	for _, line := range list {
 		if !slices.Contains(other, line) {
-			fmt.Println(prefix + line)
+			_, _ = fmt.Fprintln(out, prefix+cli.Printable(line))
 		}
 	}
 }
