Keep secrets of the wrong type out of faults of the settings

What operators saw: a secret that the settings file gives as a number or a list is printed in the error at the start, and in the Cause of event 106 when the file is read again after SIGHUP.

Cause: a fault of the type quotes the value, whichever key it belongs to.

Change: fields that are secrets are marked, and the fault of one says "another value".

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -74,12 +74,12 @@
 	// promotes another member.
 	PromotionDeposes bool `json:",omitempty"`
 	// PeerSecret authenticates proxies to one another.
-	PeerSecret string
+	PeerSecret string `config:"secret"`
 	// OperatorSecret authenticates operators' commands.
-	OperatorSecret string
+	OperatorSecret string `config:"secret"`
 	// MemberUser and MemberPassword are the proxy's credentials at members.
 	MemberUser     string
-	MemberPassword string
+	MemberPassword string `config:"secret"`
 	// Customers sets the bounds within which keys and usage caps take effect.
 	Customers Customers
 	// Limits bound the proxy's use of connections, requests and memory.
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -116,3 +116,17 @@
 	}
 	g.Expect(s.Databases()).To(ConsistOf(names))
 }
+
+// TestFaultsContainNoSecret guards against a secret of the wrong type that is printed at the start
+// and logged when the settings are read again.
+func TestFaultsContainNoSecret(t *testing.T) {
+	g := NewWithT(t)
+	for _, key := range []string{"PeerSecret", "OperatorSecret", "MemberPassword"} {
+		for _, value := range []string{"271828182845904523", `["271828182845904523"]`, `{"a": "271828182845904523"}`, "null"} {
+			settings := strings.Replace(validSettings, `"`+key+`": "0123456789abcdef"`, `"Host": "h"`, 1)
+			settings = strings.Replace(settings, `"Host": "h"`, `"Host": "h", "`+key+`": `+value, 1)
+			_, err := config.Parse([]byte(settings))
+			g.Expect(err).To(MatchError(And(ContainSubstring(key+": got another value, want a string"), Not(ContainSubstring("2718")))))
+		}
+	}
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -76,10 +76,20 @@
 		return
 	}
 	if bytes.Equal(raw, []byte("null")) || json.Unmarshal(raw, target.Addr().Interface()) != nil {
-		*faults = append(*faults, &Fault{Path: keyPath, Got: string(raw), Want: typeName(target.Kind())})
+		got := string(raw)
+		if field.Tag.Get(tagConfig) == tagSecret {
+			got = "another value"
+		}
+		*faults = append(*faults, &Fault{Path: keyPath, Got: got, Want: typeName(target.Kind())})
 	}
 }
 
+// A field with this tag is a secret. No fault contains its value.
+const (
+	tagConfig = "config"
+	tagSecret = "secret"
+)
+
 // typeName describes the JSON value that is expected for a Go kind.
 func typeName(kind reflect.Kind) string {
 	switch kind {
