Refuse operator secrets that an HTTP header cannot carry

What operators saw: a proxy with a line end at the end of its OperatorSecret, as editors and secret stores add it, starts and serves, but status, drain and switchover fail with "invalid header field value", and with a blank at the end with HTTP status 401.

Cause: the secret becomes part of the header Authorization and was checked for its length only.

Change: the settings check refuses blanks at an end and control characters.

Evidence: TestOperatorSecretCanBeSent failed before, since the settings were accepted.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -130,3 +130,20 @@
 		}
 	}
 }
+
+// TestOperatorSecretCanBeSent guards against a secret that an HTTP header cannot carry, so that a
+// proxy starts but accepts no command of an operator.
+func TestOperatorSecretCanBeSent(t *testing.T) {
+	for _, bad := range []string{`0123456789abcdef\n`, `0123456789abcdef `, ` 0123456789abcdef`, `0123456789\u0000abcdef`, `0123456789abcdef\u007f`, "0123456789abcdef\\t"} {
+		g := NewWithT(t)
+		_, err := config.Parse([]byte(strings.Replace(validSettings, `"OperatorSecret": "0123456789abcdef"`, `"OperatorSecret": "`+bad+`"`, 1)))
+		g.Expect(err).To(MatchError("OperatorSecret: got blanks at an end or control characters, want none"), bad)
+	}
+	for _, good := range []string{`0123456789 abcdef`, `Füße und Hände, "0123"`} {
+		g := NewWithT(t)
+		raw, err := json.Marshal(good)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = config.Parse([]byte(strings.Replace(validSettings, `"OperatorSecret": "0123456789abcdef"`, `"OperatorSecret": `+string(raw), 1)))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode"
 )
 
 // Fault reports one invalid value or unknown key.
@@ -139,6 +140,7 @@
 	c.protocol(s)
 	c.secret("PeerSecret", s.PeerSecret)
 	c.secret("OperatorSecret", s.OperatorSecret)
+	c.header("OperatorSecret", s.OperatorSecret)
 	c.share("ProcessorShare", s.ProcessorShare)
 	c.share("ProcessorSpeed", s.ProcessorSpeed)
 	for i, seed := range s.Seeds {
@@ -199,6 +201,13 @@
 	}
 }
 
+// header checks that an HTTP header can carry a secret. The fault does not contain the secret.
+func (c *checker) header(path, value string) {
+	if strings.TrimSpace(value) != value || strings.ContainsFunc(value, unicode.IsControl) {
+		c.fail(path, "blanks at an end or control characters", "none")
+	}
+}
+
 func (c *checker) share(path string, value float64) {
 	if value < 0 {
 		c.fail(path, fmt.Sprint(value), "a number of at least 0")
