Refuse names of hosts that others would read as something else

What operators would see: a host whose name contains a blank, a slash, a quotation mark or a line end starts. Its words to members are then two words, its SQL commands (poplar_lead, poplar_evict) end early, its entry in the store lies under another path, and promotions fail because the name is no valid header. A name of 1,000 bytes is longer than the first frame between hosts, so that no other host ever answers.

Cause: the settings check wanted only that the name is not empty.

Change: a name has at most 255 bytes, begins with a letter or a digit and consists of letters, digits, dots, dashes and underscores (package name). Anything else is refused at the start.

Evidence: TestHostNameThatCannotBeUsedIsRefused failed before with "Expected an error, got nil" for "a b".

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -147,3 +147,15 @@
 		g.Expect(err).NotTo(HaveOccurred())
 	}
 }
+
+// TestHostNameThatCannotBeUsedIsRefused guards against a host that starts under a name that members
+// or the store read as something else, for example as two words.
+func TestHostNameThatCannotBeUsedIsRefused(t *testing.T) {
+	for _, bad := range []string{"a b", "a/b", "..", "a'); SELECT 1; --", "a,b", "a:1", "a\r\nX: y", strings.Repeat("a", 1000)} {
+		g := NewWithT(t)
+		raw, err := json.Marshal(bad)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = config.Parse([]byte(strings.Replace(validSettings, `"Host": "h"`, `"Host": `+string(raw), 1)))
+		g.Expect(err).To(MatchError(And(HavePrefix("Host: got "), ContainSubstring("begins with a letter or a digit"))), bad)
+	}
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"strings"
 	"unicode"
+
+	"poplarrouter.example/poplarrouter/internal/name"
 )
 
 // Fault reports one invalid value or unknown key.
@@ -130,7 +132,7 @@
 
 func (s Settings) check() Faults {
 	c := checker{}
-	c.name("Host", s.Host)
+	c.host(s.Host)
 	c.name("DataCentre", s.DataCentre)
 	c.name("Region", s.Region)
 	c.address("CallerAddress", s.CallerAddress)
@@ -170,6 +172,14 @@
 	}
 }
 
+// host checks the name of the host.
+func (c *checker) host(value string) {
+	c.name("Host", value)
+	if strings.TrimSpace(value) != "" && !name.Valid(value) {
+		c.fail("Host", strconv.Quote(value), name.Want)
+	}
+}
+
 func (c *checker) address(path, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.fail(path, fmt.Sprintf("%q", value), "an IP number and a port")
