Exchange the sheet of a configuration with many keys

What operators would see: with some 30,000 keys of 32 characters, or 130,000 short ones, in a configuration of 1 MiB, hosts that do not watch the store get no sheet any more, so that new and removed keys do not reach them. Each fetch of the sheet ends the connection between two hosts (event 702), and with it heartbeats and votes.

Cause: a key becomes a digest of 64 characters in the sheet. The sheet is then larger than a frame, also compressed, and a frame that cannot be encoded ends its connection.

Change: a frame may have 6 MiB and a document 16 MiB, enough for the shortest keys. Jobs and outcomes of relayed requests keep their own limit, which is now checked when they are sent; before, the limit of frames was the lower one, and left 4 KiB instead of 64 KiB for fields other than the text.

Evidence: TestSheetOfManyKeysIsExchanged failed before with "got 4599835 bytes, want at most 1052672".

--- a/internal/peer/docs.go
+++ b/internal/peer/docs.go
@@ -50,8 +50,9 @@
 }
 
 // maxDocument is the size in bytes of the largest document. A sheet is larger than the
-// configuration of which it was made, because its rows spell out every column.
-const maxDocument = 4 << 20
+// configuration of which it was made, because its rows spell out every column and its keys are
+// replaced by digests.
+const maxDocument = 16 << 20
 
 // Doc returns the document. It returns a *FrameError if the body is not valid DEFLATE data
 // or is larger than maxDocument.
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -17,6 +18,7 @@
 	"poplarrouter.example/poplarrouter/internal/event"
 	"poplarrouter.example/poplarrouter/internal/meter"
 	"poplarrouter.example/poplarrouter/internal/peer"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // received returns the bytes that a proxy received from its peers.
@@ -152,6 +154,30 @@
 	g.Expect(received.Doc.Doc()).To(Equal(doc))
 }
 
+// TestSheetOfManyKeysIsExchanged guards against connections between hosts that end whenever the
+// sheet is fetched: each key of a configuration of 1 MiB becomes a digest in the sheet, which is
+// many times as long as a short key and cannot be compressed to its length.
+func TestSheetOfManyKeysIsExchanged(t *testing.T) {
+	g := NewWithT(t)
+	const configuration, entry = 1 << 20, len(`"00000",`)
+	keys := sheet.Customer{Name: "acme"}
+	for i := range configuration / entry {
+		keys.KeyDigests = append(keys.KeyDigests, sheet.KeyDigest(fmt.Sprintf("%05x", i)))
+	}
+	body, err := json.Marshal(book.SheetDoc{Serial: 9, Customers: []sheet.Customer{keys}})
+	g.Expect(err).NotTo(HaveOccurred())
+	doc := book.Doc{Kind: book.Sheet, Serial: 9, Body: body}
+	frame, err := peer.NewDocFrame(doc)
+	g.Expect(err).NotTo(HaveOccurred())
+	raw, err := peer.Encode(peer.Frame{Doc: &frame})
+	g.Expect(err).NotTo(HaveOccurred())
+	received, err := peer.Decode(bytes.NewReader(raw), peer.MaxFrame)
+	g.Expect(err).NotTo(HaveOccurred())
+	exchanged, err := received.Doc.Doc()
+	g.Expect(err).NotTo(HaveOccurred())
+	g.Expect(bytes.Equal(exchanged.Body, body)).To(BeTrue())
+}
+
 // busyOnce is a recorder that drops the first document, as a proxy does whose queue is full.
 type busyOnce struct {
 	recorder
--- a/internal/peer/frame.go
+++ b/internal/peer/frame.go
@@ -28,9 +28,9 @@
 	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
-// MaxFrame is the size in bytes of the largest frame: the largest document that the
-// store accepts, and its envelope.
-const MaxFrame = 1<<20 + 1<<12
+// MaxFrame is the size in bytes of the largest frame: the sheet of a configuration of 1 MiB that
+// consists of short keys, compressed, and its envelope.
+const MaxFrame = 6 << 20
 
 // maxHandshake is the size in bytes of the largest frame before the peer is
 // authenticated.
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -86,7 +86,7 @@
 	x := r.Exchange.(*flow.Exchange) //nolint:forcetypeassert,errcheck // the protocol whose proxies relay has no others
 	row := r.Work
 	row.Secret, row.Service, row.Caller = "", "", ""
-	raw, err := peer.EncodeArray(Job{
+	raw, err := encode(Job{
 		Number: c.number + 1, Request: r.Name, Service: r.Caller.Service, Caller: r.Caller.Name, Waited: time.Since(r.Arrived),
 		Work: row, Replicated: r.Replicated, LastAttempt: r.LastAttempt, Floor: r.Floor, Payload: x.Payload(),
 		Customer: r.Caller.Customer, KeyDigest: r.Caller.KeyDigest, SheetSerial: c.owner.sheetSerial(),
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -13,9 +13,11 @@
 package relay
 
 import (
+	"fmt"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/flow"
+	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
 	"poplarrouter.example/poplarrouter/pkg/sheet"
@@ -72,3 +74,13 @@
 // maxBytes limits the size of an encoded job or outcome: the longest message of a caller
 // or a member is 1 MiB, and 64 KiB are for the other fields.
 const maxBytes = 1<<20 + 1<<16
+
+// encode returns the encoding of a job or an outcome. It returns a *peer.FrameError for one that
+// the other side would not accept.
+func encode(value any) ([]byte, error) {
+	raw, err := peer.EncodeArray(value)
+	if err == nil && len(raw) > maxBytes {
+		return nil, &peer.FrameError{Got: fmt.Sprintf("%d bytes", len(raw)), Want: fmt.Sprintf("at most %d", maxBytes)}
+	}
+	return raw, err
+}
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -62,7 +62,7 @@
 // answer sends an outcome in one write, so that a concurrent drain notice cannot be written
 // into the middle of it.
 func answer(s *front.Session, o Outcome) error {
-	raw, err := peer.EncodeArray(o)
+	raw, err := encode(o)
 	if err != nil {
 		return err
 	}
