Keep members of databases with a slash in their names apart

What operators would see: of member "b/c" of database "a" and member "c" of database "a/b", only one has a worker for its slot lease. Requests for the other one get permits of the wrong member, or wait until their deadline.

Cause: the key of a member was its database's name, a slash and its own name. Names in the list of databases may contain slashes.

Change: a name of a database that contains a slash or a quotation mark is quoted in the key. Keys of all other members are as before, so that hosts agree on candidates and voters.

--- a/internal/gate/lease.go
+++ b/internal/gate/lease.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"strconv"
+	"strings"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/ctrl"
@@ -220,7 +222,14 @@
 
 func (l *memberLease) key() string { return leaseKey(l.database, l.member.Name) }
 
-func leaseKey(database, member string) string { return database + "/" + member }
+// leaseKey returns the key of a member, which no other member has. A database whose name could be
+// read together with that of the member is quoted.
+func leaseKey(database, member string) string {
+	if strings.ContainsAny(database, `/"`) {
+		database = strconv.Quote(database)
+	}
+	return database + "/" + member
+}
 
 // evictHolder ends the lease connection of the current holder at the member.
 func (l *memberLease) evictHolder(ctx context.Context) {
