Hash the lengths of names and keys in the fingerprint of keys

What callers would see: a removed key that is still accepted. A proof that the sheet is the store's newest says which keys it has by a fingerprint. Two sheets with the same serial, as after the store was restored, can have the same fingerprint although they give keys to different customers, if a name or a digest in the document contains the bytes that separated them.

Cause: texts were hashed one after the other with separators that may be part of them.

Change: each text is hashed with its length, and each customer with the number of its keys. The fingerprint is compared between hosts: do not mix with older builds.

Evidence: TestFingerprintsOfJoinedTextsDiffer failed before with 2 fingerprints of 5 lists of customers.

--- a/pkg/sheet/keyset.go
+++ b/pkg/sheet/keyset.go
@@ -1,6 +1,8 @@
 package sheet
 
 import (
+	"encoding/binary"
+
 	"github.com/cespare/xxhash/v2"
 )
 
@@ -13,17 +15,26 @@
 		return d.Sum64()
 	}
 	for _, c := range s.customers.list {
-		_, _ = d.WriteString(c.Name)
-		_, _ = d.Write([]byte{0})
+		writeText(d, c.Name)
+		writeNumber(d, len(c.KeyDigests))
 		for _, digest := range c.KeyDigests {
-			_, _ = d.WriteString(digest)
-			_, _ = d.Write([]byte{0})
+			writeText(d, digest)
 		}
-		_, _ = d.Write([]byte{1})
 	}
 	return d.Sum64()
 }
 
+// writeText adds a text with its length, so that texts which are added one after the other cannot be
+// read as others.
+func writeText(d *xxhash.Digest, text string) {
+	writeNumber(d, len(text))
+	_, _ = d.WriteString(text)
+}
+
+func writeNumber(d *xxhash.Digest, n int) {
+	_, _ = d.Write(binary.BigEndian.AppendUint64(nil, uint64(n))) //nolint:gosec // a length is not negative
+}
+
 // KeysWithin reports whether each key of the sheet belongs to the same customer in another
 // sheet.
 func (s Sheet) KeysWithin(other Sheet) bool {
--- a/pkg/sheet/keyset_test.go
+++ b/pkg/sheet/keyset_test.go
@@ -28,3 +28,20 @@
 	g.Expect(prints).To(HaveLen(4))
 	g.Expect(of(fewer.Customers()...).KeysFingerprint()).To(Equal(fewer.KeysFingerprint()))
 }
+
+// TestFingerprintsOfJoinedTextsDiffer guards against two sheets that give a key to different customers
+// and have the same fingerprint, because texts that are joined read the same.
+func TestFingerprintsOfJoinedTextsDiffer(t *testing.T) {
+	g := NewWithT(t)
+	prints := map[uint64]bool{}
+	for _, list := range [][]sheet.Customer{
+		{{Name: "a", KeyDigests: []string{"1", "2"}}},
+		{{Name: "a", KeyDigests: []string{"1\x002"}}},
+		{{Name: "a\x001", KeyDigests: []string{"2"}}},
+		{{Name: "a", KeyDigests: []string{"1"}}, {Name: "b", KeyDigests: []string{"2"}}},
+		{{Name: "a", KeyDigests: []string{"1", "\x01b", "2"}}},
+	} {
+		prints[sheet.Sheet{}.WithCustomers(list).KeysFingerprint()] = true
+	}
+	g.Expect(prints).To(HaveLen(5))
+}
