Refuse work of ranks that do not exist

What operators would see: a process that ends with "index out of range [-1]" when another host relays work, or asks for a permit for work, with a rank that does not exist.

Cause: the rank in the frame was used as an index without being checked.

Change: such a job or request is refused with a Protocol fault and has not run.

The jobs in TestOwnerRefusesAJobForWhichItHasNoMemory had no rank; they now have one, as jobs do.

--- a/internal/gate/remote.go
+++ b/internal/gate/remote.go
@@ -1,11 +1,13 @@
 package gate
 
 import (
+	"fmt"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/internal/slots"
 	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // remoteRequest is a request of another proxy that waits for a permit or has one.
@@ -77,6 +79,10 @@
 // HandlePermitRequest implements peer.Handler. It handles another proxy's permit request. A
 // request that is received again is answered again.
 func (lm *LeaseManager) HandlePermitRequest(host string, w peer.PermitRequest, reply func(peer.Grant)) {
+	if !w.Rank.Valid() {
+		reply(peer.Grant{ID: w.ID, Refusal: fault.Protocol, Detail: fmt.Sprintf("got rank %d, want a rank from 1 to %d", w.Rank, sheet.MaxRank)})
+		return
+	}
 	key := leaseKey(w.Database, w.Member)
 	var g *Gate
 	if l := lm.memberLease(w.Database, w.Member); l != nil {
--- a/internal/labpf/forged_test.go
+++ b/internal/labpf/forged_test.go
@@ -104,3 +104,20 @@
 	s.Expect(s.connectedFor("joined")).To(BeEmpty())
 	s.Expect(s.platform.Count("opened")).To(BeZero())
 }
+
+// TestJobOfAnUnknownRankIsRefused guards against an owner whose process ends because another host
+// relays work of a rank that does not exist.
+func TestJobOfAnUnknownRankIsRefused(t *testing.T) {
+	s := newSite(t, 1)
+	s.comes(s.enter(0, labpf.Session), "WRITE k ready")
+	conn := s.dialRelay(0)
+	for _, rank := range []sheet.Rank{-1, 0, sheet.MaxRank + 1, 1 << 40} {
+		job := jobOf("", "", "WRITE k forged", stmt.Session{})
+		job.Service, job.Work.KeyRequired, job.Work.Rank = labpf.Session, false, rank
+		o := s.sendJob(conn, job)
+		s.Expect(o.Failed).To(BeTrue())
+		s.Expect(o.Fault).To(Equal(fault.Protocol))
+	}
+	s.Expect(s.platform.Count("forged")).To(BeZero())
+	s.comes(s.enter(0, labpf.Session), "WRITE k after")
+}
--- a/internal/relay/memory_test.go
+++ b/internal/relay/memory_test.go
@@ -24,6 +24,7 @@
 	"poplarrouter.example/poplarrouter/internal/relay"
 	"poplarrouter.example/poplarrouter/internal/stmt"
 	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // TestOwnerRefusesAJobForWhichItHasNoMemory guards against a relayed request whose outcome is
@@ -59,7 +60,7 @@
 	go func() { _ = f.ServeRelay(t.Context(), far, "other") }()
 	send := func(number uint64, name, item string) relay.Outcome {
 		query := flow.Query{ID: name, Statement: stmt.Statement{Kind: stmt.Read, Text: "READ " + item}}
-		raw, err := peer.EncodeArray(relay.Job{Number: number, Request: name, Payload: flow.Payload{Query: query}})
+		raw, err := peer.EncodeArray(relay.Job{Number: number, Request: name, Work: sheet.Row{Rank: 1}, Payload: flow.Payload{Query: query}})
 		g.Expect(err).NotTo(HaveOccurred())
 		_, err = near.Write(raw)
 		g.Expect(err).NotTo(HaveOccurred())
--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"time"
 
@@ -11,6 +12,7 @@
 	"poplarrouter.example/poplarrouter/internal/front"
 	"poplarrouter.example/poplarrouter/internal/peer"
 	"poplarrouter.example/poplarrouter/pkg/fault"
+	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 // Protocol serves the jobs that another proxy sends over a connection.
@@ -83,6 +85,10 @@
 		return Outcome{Failed: true, Fault: fault.Leaving, Text: "this proxy is draining", Draining: true}
 	}
 	defer s.EndRequest()
+	if rank := job.Work.Rank; !rank.Valid() {
+		s.Rollback()
+		return Outcome{Failed: true, Fault: fault.Protocol, Text: fmt.Sprintf("got rank %d, want a rank from 1 to %d", rank, sheet.MaxRank), Draining: s.DrainStarted()}
+	}
 	if err := checkCustomer(s.Options().Documents.Book(), job); err != nil {
 		s.Rollback()
 		return Outcome{Failed: true, Fault: err.Kind, Text: err.Message(), Draining: s.DrainStarted()}
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -51,6 +51,9 @@
 // Rank orders kinds of work by urgency; 1 is the most urgent.
 type Rank int
 
+// Valid reports whether there is such a rank. Another host may send a different one.
+func (r Rank) Valid() bool { return r >= 1 && r <= MaxRank }
+
 // Row is a kind of work that a caller may do on a service. The package documentation
 // describes its fields by their columns.
 type Row struct {
