--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -116,3 +116,46 @@
 	}
 	g.Expect(s.Databases()).To(ConsistOf(names))
 }
+
+// TestFaultsContainNoSecret guards against a secret of the wrong type that is printed at the start
+// and logged when the settings are read again.
+func TestFaultsContainNoSecret(t *testing.T) {
+	g := NewWithT(t)
+	for _, key := range []string{"PeerSecret", "OperatorSecret", "MemberPassword"} {
+		for _, value := range []string{"271828182845904523", `["271828182845904523"]`, `{"a": "271828182845904523"}`, "null"} {
+			settings := strings.Replace(validSettings, `"`+key+`": "0123456789abcdef"`, `"Host": "h"`, 1)
+			settings = strings.Replace(settings, `"Host": "h"`, `"Host": "h", "`+key+`": `+value, 1)
+			_, err := config.Parse([]byte(settings))
+			g.Expect(err).To(MatchError(And(ContainSubstring(key+": got another value, want a string"), Not(ContainSubstring("2718")))))
+		}
+	}
+}
+
+// TestOperatorSecretCanBeSent guards against a secret that an HTTP header cannot carry, so that a
+// proxy starts but accepts no command of an operator.
+func TestOperatorSecretCanBeSent(t *testing.T) {
+	for _, bad := range []string{`0123456789abcdef\n`, `0123456789abcdef `, ` 0123456789abcdef`, `0123456789\u0000abcdef`, `0123456789abcdef\u007f`, "0123456789abcdef\\t"} {
+		g := NewWithT(t)
+		_, err := config.Parse([]byte(strings.Replace(validSettings, `"OperatorSecret": "0123456789abcdef"`, `"OperatorSecret": "`+bad+`"`, 1)))
+		g.Expect(err).To(MatchError("OperatorSecret: got blanks at an end or control characters, want none"), bad)
+	}
+	for _, good := range []string{`0123456789 abcdef`, `Füße und Hände, "0123"`} {
+		g := NewWithT(t)
+		raw, err := json.Marshal(good)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = config.Parse([]byte(strings.Replace(validSettings, `"OperatorSecret": "0123456789abcdef"`, `"OperatorSecret": `+string(raw), 1)))
+		g.Expect(err).NotTo(HaveOccurred())
+	}
+}
+
+// TestHostNameThatCannotBeUsedIsRefused guards against a host that starts under a name that members
+// or the store read as something else, for example as two words.
+func TestHostNameThatCannotBeUsedIsRefused(t *testing.T) {
+	for _, bad := range []string{"a b", "a/b", "..", "a'); SELECT 1; --", "a,b", "a:1", "a\r\nX: y", strings.Repeat("a", 1000)} {
+		g := NewWithT(t)
+		raw, err := json.Marshal(bad)
+		g.Expect(err).NotTo(HaveOccurred())
+		_, err = config.Parse([]byte(strings.Replace(validSettings, `"Host": "h"`, `"Host": `+string(raw), 1)))
+		g.Expect(err).To(MatchError(And(HavePrefix("Host: got "), ContainSubstring("begins with a letter or a digit"))), bad)
+	}
+}
--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -9,6 +9,9 @@
 	"slices"
 	"strconv"
 	"strings"
+	"unicode"
+
+	"poplarrouter.example/poplarrouter/internal/name"
 )
 
 // Fault reports one invalid value or unknown key.
@@ -76,10 +79,20 @@
 		return
 	}
 	if bytes.Equal(raw, []byte("null")) || json.Unmarshal(raw, target.Addr().Interface()) != nil {
-		*faults = append(*faults, &Fault{Path: keyPath, Got: string(raw), Want: typeName(target.Kind())})
+		got := string(raw)
+		if field.Tag.Get(tagConfig) == tagSecret {
+			got = "another value"
+		}
+		*faults = append(*faults, &Fault{Path: keyPath, Got: got, Want: typeName(target.Kind())})
 	}
 }
 
+// A field with this tag is a secret. No fault contains its value.
+const (
+	tagConfig = "config"
+	tagSecret = "secret"
+)
+
 // typeName describes the JSON value that is expected for a Go kind.
 func typeName(kind reflect.Kind) string {
 	switch kind {
@@ -119,7 +132,7 @@
 
 func (s Settings) check() Faults {
 	c := checker{}
-	c.name("Host", s.Host)
+	c.host(s.Host)
 	c.name("DataCentre", s.DataCentre)
 	c.name("Region", s.Region)
 	c.address("CallerAddress", s.CallerAddress)
@@ -129,6 +142,7 @@
 	c.protocol(s)
 	c.secret("PeerSecret", s.PeerSecret)
 	c.secret("OperatorSecret", s.OperatorSecret)
+	c.header("OperatorSecret", s.OperatorSecret)
 	c.share("ProcessorShare", s.ProcessorShare)
 	c.share("ProcessorSpeed", s.ProcessorSpeed)
 	for i, seed := range s.Seeds {
@@ -158,6 +172,14 @@
 	}
 }
 
+// host checks the name of the host.
+func (c *checker) host(value string) {
+	c.name("Host", value)
+	if strings.TrimSpace(value) != "" && !name.Valid(value) {
+		c.fail("Host", strconv.Quote(value), name.Want)
+	}
+}
+
 func (c *checker) address(path, value string) {
 	if _, err := netip.ParseAddrPort(value); err != nil {
 		c.fail(path, fmt.Sprintf("%q", value), "an IP number and a port")
@@ -189,6 +211,13 @@
 	}
 }
 
+// header checks that an HTTP header can carry a secret. The fault does not contain the secret.
+func (c *checker) header(path, value string) {
+	if strings.TrimSpace(value) != value || strings.ContainsFunc(value, unicode.IsControl) {
+		c.fail(path, "blanks at an end or control characters", "none")
+	}
+}
+
 func (c *checker) share(path string, value float64) {
 	if value < 0 {
 		c.fail(path, fmt.Sprint(value), "a number of at least 0")
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -86,7 +86,7 @@
 	x := r.Exchange.(*flow.Exchange) //nolint:forcetypeassert,errcheck // the protocol whose proxies relay has no others
 	row := r.Work
 	row.Secret, row.Service, row.Caller = "", "", ""
-	raw, err := peer.EncodeArray(Job{
+	raw, err := encode(Job{
 		Number: c.number + 1, Request: r.Name, Service: r.Caller.Service, Caller: r.Caller.Name, Waited: time.Since(r.Arrived),
 		Work: row, Replicated: r.Replicated, LastAttempt: r.LastAttempt, Floor: r.Floor, Payload: x.Payload(),
 		Customer: r.Caller.Customer, KeyDigest: r.Caller.KeyDigest, SheetSerial: c.owner.sheetSerial(),
@@ -143,6 +143,10 @@
 		c.owner.setDraining()
 	}
 	if o.Failed {
+		if !o.Fault.Known() {
+			// What a kind of another release says about the outcome is not known.
+			return fault.New(fault.Severed, "run at "+c.owner.host.Name, "got fault %d, want one of this release: %s", uint8(o.Fault), o.Text)
+		}
 		return fault.New(o.Fault, "run at "+c.owner.host.Name, "%s", o.Text)
 	}
 	x.Finish(o.Reply)
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -6,7 +6,6 @@
 package trail
 
 import (
-	"bufio"
 	"bytes"
 	"cmp"
 	"encoding/json"
@@ -14,12 +13,13 @@
 	"io"
 	"maps"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
-)
 
-// maxLine bounds the length of a log line, in bytes.
-const maxLine = 1 << 20
+	"poplarrouter.example/poplarrouter/internal/cli"
+	"poplarrouter.example/poplarrouter/internal/event"
+)
 
 // Line is a log line about the request.
 type Line struct {
@@ -52,10 +52,13 @@
 // a line, as log collectors add it, names the source of that line after the given one.
 func (t Trail) WithLog(source string, log io.Reader) (Trail, error) {
 	t.lines = slices.Clone(t.lines)
-	scanner := bufio.NewScanner(log)
-	scanner.Buffer(nil, maxLine)
-	for scanner.Scan() {
-		line, found, err := t.parse(source, scanner.Bytes())
+	var readErr error
+	for raw, err := range event.Lines(log) {
+		if err != nil {
+			readErr = err
+			break
+		}
+		line, found, err := t.parse(source, raw)
 		switch {
 		case err != nil:
 			t.skipped++
@@ -64,7 +67,7 @@
 		}
 	}
 	slices.SortStableFunc(t.lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
-	return t, scanner.Err()
+	return t, readErr
 }
 
 // hidden are the fields that are shown elsewhere or are the same in all lines.
@@ -96,7 +99,8 @@
 }
 
 // Write prints the lines: the time since the first one, the source, the name of the event,
-// and the fields by name. Cause comes last, because it is the longest.
+// and the fields by name. Cause comes last, because it is the longest. Texts that could be taken for
+// something else are quoted.
 func (t Trail) Write(w io.Writer) error {
 	for _, line := range t.lines {
 		keys := slices.SortedFunc(maps.Keys(line.Fields), func(a, b string) int {
@@ -104,9 +108,9 @@
 		})
 		words := make([]string, 0, len(keys))
 		for _, key := range keys {
-			words = append(words, fmt.Sprintf("%s=%v", key, line.Fields[key]))
+			words = append(words, cli.Printable(key)+"="+field(line.Fields[key]))
 		}
-		_, err := fmt.Fprintf(w, "%+8.3fs  %s  %s  %s\n", line.Time.Sub(t.lines[0].Time).Seconds(), line.Source, line.Name, strings.Join(words, " "))
+		_, err := fmt.Fprintf(w, "%+8.3fs  %s  %s  %s\n", line.Time.Sub(t.lines[0].Time).Seconds(), cli.Printable(line.Source), cli.Printable(line.Name), strings.Join(words, " "))
 		if err != nil {
 			return err
 		}
@@ -114,6 +118,16 @@
 	return nil
 }
 
+// field returns a value as it is printed after its name. One that could be read as another field is
+// quoted.
+func field(value any) string {
+	text := fmt.Sprint(value)
+	if strings.Contains(text, "=") {
+		return strconv.Quote(text)
+	}
+	return cli.Printable(text)
+}
+
 func order(key string) int {
 	if key == "Cause" {
 		return 1
