Stand-in: tell session values and access of executed statements

The stand-in recorded the shape of an executed statement only where no position was set before it (AFTER), and neither its access nor the session values in force. A run of minutes would also keep all statements in memory. Statements now have these fields, and a listener can take them as they arrive instead.

--- a/internal/labpf/labpf.go
+++ b/internal/labpf/labpf.go
@@ -24,6 +24,10 @@
 	// Via returns the address under which a member is listed, given its own; nil stands
 	// for the same.
 	Via func(address string) (string, error)
+	// OnStatement is called for each statement of a caller that a member receives, before the
+	// member runs it, and by several goroutines at a time. Unless it is nil, statements are not
+	// recorded.
+	OnStatement func(Statement)
 }
 
 // Database is the name of the platform's database.
--- a/internal/labpf/tenants.go
+++ b/internal/labpf/tenants.go
@@ -22,21 +22,38 @@
 	// ID is the caller's identifier of its request.
 	ID   string
 	Text string
-	// Shape is that of the prepared statement which was executed, or empty.
-	Shape string
+	// Access and Shape are those of the prepared statement which was executed, or empty.
+	Access string
+	Shape  string
+	// Values are the session values that were in force on the connection.
+	Values map[string]string
 }
 
-// noteStatement records a statement of a caller. Statements with the ID "-" are the proxy's own.
+// Request returns the text without the position that a proxy may have set before it.
+func (st Statement) Request() string {
+	if rest, after := strings.CutPrefix(st.Text, "AFTER "); after {
+		_, text, _ := strings.Cut(rest, " ")
+		return text
+	}
+	return st.Text
+}
+
+// noteStatement records a statement of a caller, or passes it on. Statements with the ID "-" are
+// the proxy's own.
 func (s *session) noteStatement(id, text string) {
 	if id == "-" {
 		return
 	}
-	noted := Statement{Member: s.name, Connected: s.connected, ID: id, Text: text}
-	if rest, executes := strings.CutPrefix(text, "EXECUTE "); executes {
+	noted := Statement{Member: s.name, Connected: s.connected, ID: id, Text: text, Values: maps.Clone(s.values)}
+	if rest, executes := strings.CutPrefix(noted.Request(), "EXECUTE "); executes {
 		name, _, _ := strings.Cut(rest, " ")
-		noted.Shape = s.prepared[name].shape
+		noted.Access, noted.Shape = s.prepared[name].access, s.prepared[name].shape
 	}
 	g := s.group
+	if g.options.OnStatement != nil {
+		g.options.OnStatement(noted)
+		return
+	}
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.statements = append(g.statements, noted)
