Soak: report broken invariants of the proxies

The proxies assert their promises and log event 901, which the soak did not read: a run whose proxies reported a broken invariant could pass. The audit now reads the logs.

--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+
+	"poplarrouter.example/poplarrouter/internal/event"
 )
 
 // fate is what a caller was told of a write.
@@ -108,4 +111,18 @@
 	if lost := r.platform.Outcome().Lost; lost > 0 {
 		r.broken("an acknowledged write is kept", "promoted members lacked %d acknowledged entries", lost)
 	}
+	for _, p := range r.proxies {
+		log, err := os.ReadFile(p.log)
+		if err != nil {
+			r.broken("the run itself works", "%s", err)
+		}
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, brokenEvent) {
+				r.broken("a proxy reports no broken invariant", "%s: %s", p.settings.Host, strings.TrimSpace(line))
+			}
+		}
+	}
 }
+
+// brokenEvent is part of the lines with which proxies report broken invariants.
+var brokenEvent = fmt.Sprintf(`"Event":%d,`, event.InvariantBroken)
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -11,8 +11,9 @@
 // What is checked: a write runs at most once, an acknowledged one is kept, and one that was
 // refused as not run is not there; a transaction is kept whole or not at all; a session
 // reads its own writes, and a read that must see everything sees what was acknowledged
-// before it; a terminated proxy ends in time and cleanly; and when all faults are over,
-// every proxy serves again. No process ends that the run did not start.
+// before it; a terminated proxy ends in time and cleanly, and no proxy reports a broken
+// invariant; and when all faults are over, every proxy serves again. No process ends that the run
+// did not start.
 package soak
 
 import (
