Soak: check that members run only what a caller sent

Callers now also set values and prepare statements, under names that others use too, and execute them for reads and writes, inside and outside transactions; a third of the sessions is used until it ends. Texts contain words of the protocol, several blanks, control characters, bytes that are not UTF-8, and at times up to 64 KiB. Written values contain such texts too. Each statement that a member receives with a caller's ID is compared, as it arrives, with what this caller sent: the text, the prepared statement and the session values.

--- a/cmd/poplarlab/soak.go
+++ b/cmd/poplarlab/soak.go
@@ -51,8 +51,8 @@
 			if err != nil {
 				return err
 			}
-			fmt.Printf("seed %d: %d faults, %d promotions, answers %v, %d broken promises; logs in %s\n",
-				o.Seed, len(report.Faults), report.Promotions, report.Answers, len(report.Broken), o.Dir)
+			fmt.Printf("seed %d: %d faults, %d promotions, %d statements checked, answers %v, %d broken promises; logs in %s\n",
+				o.Seed, len(report.Faults), report.Promotions, report.Statements, report.Answers, len(report.Broken), o.Dir)
 			if len(report.Broken) > 0 {
 				return &InvariantError{Seed: o.Seed, Count: len(report.Broken)}
 			}
--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"net"
 	"strings"
@@ -22,8 +23,16 @@
 	answers *bufio.Reader
 	proxy   string
 	route   string
+	// inside tells that a transaction is open. values and prepared are those that the proxy
+	// acknowledged.
+	inside   bool
+	values   map[string]string
+	prepared map[string]prepared
 }
 
+// prepared is a prepared statement of a session.
+type prepared struct{ access, shape string }
+
 // answerTime is how long a caller awaits an answer: the time limit of a statement, and as
 // much again for the way.
 const answerTime = 4 * time.Second
@@ -33,7 +42,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &session{Conn: conn, answers: bufio.NewReader(conn), proxy: p.settings.Host, route: route}
+	s := &session{
+		Conn: conn, answers: bufio.NewReader(conn), proxy: p.settings.Host, route: route, values: make(map[string]string), prepared: make(map[string]prepared),
+	}
 	_ = conn.SetDeadline(time.Now().Add(answerTime))
 	if _, err = fmt.Fprintf(conn, "STARTUP %s soak\r\n", route); err == nil {
 		var line string
@@ -63,13 +74,14 @@
 		if err != nil {
 			return "", lost
 		}
-		word, rest, _ := strings.Cut(strings.TrimSpace(line), " ")
+		word, rest, _ := strings.Cut(strings.TrimSuffix(line, "\r\n"), " ")
 		switch word {
 		case "DATAROW":
 			row = rest
 		case "ERROR":
 			code, _, _ = strings.Cut(rest, " ")
 		case "READY":
+			s.inside = !strings.HasPrefix(rest, "I")
 			return row, code
 		}
 	}
@@ -116,7 +128,12 @@
 			continue
 		}
 		c.seen = 0
-		for n := c.random.IntN(60); n >= 0 && ctx.Err() == nil && c.step(s); n-- {
+		n := c.random.IntN(60)
+		if c.random.IntN(3) == 0 {
+			// The caller uses the session until that ends.
+			n = math.MaxInt
+		}
+		for ; n >= 0 && ctx.Err() == nil && c.step(s); n-- {
 			time.Sleep(time.Duration(c.random.IntN(30)) * time.Millisecond)
 		}
 		_ = s.Close()
@@ -131,7 +148,16 @@
 // ask runs a statement under a name of its own, and counts the answer.
 func (c *caller) ask(s *session, text string) (row, code string) {
 	c.asked++
-	row, code = s.ask(fmt.Sprintf("%sq%d", c.name, c.asked), text)
+	id := fmt.Sprintf("%sq%d", c.name, c.asked)
+	var executed prepared
+	if rest, executes := strings.CutPrefix(text, "EXECUTE "); executes {
+		name, _, _ := strings.Cut(rest, " ")
+		executed = s.prepared[name]
+	}
+	st := newStatement(text, executed.access, executed.shape, s.values)
+	st.inside = s.inside
+	c.sent.note(id, st)
+	row, code = s.ask(id, text)
 	told := code
 	if told == "" {
 		told = "OK"
@@ -142,13 +168,17 @@
 
 // step does one piece of work, and tells whether the session goes on.
 func (c *caller) step(s *session) bool {
-	switch c.random.IntN(6) {
+	switch c.random.IntN(9) {
 	case 0, 1:
 		return c.write(s)
 	case 2, 3:
 		return c.readOwn(s)
 	case 4:
 		return c.readOther(s)
+	case 5:
+		return c.readNothing(s)
+	case 6, 7:
+		return c.setUp(s)
 	default:
 		return c.transact(s)
 	}
@@ -156,7 +186,7 @@
 
 func (c *caller) write(s *session) bool {
 	c.number++
-	_, code := c.ask(s, fmt.Sprintf("WRITE %s %s", c.key, value(c.key, c.number)))
+	_, code := c.ask(s, c.either(s, "WRITE", c.key+" "+value(c.key, c.number)))
 	f := fateOf(code)
 	c.ledger.note(c.key, c.number, f)
 	switch f {
@@ -170,7 +200,7 @@
 }
 
 func (c *caller) readOwn(s *session) bool {
-	row, code := c.ask(s, "READ "+c.key)
+	row, code := c.ask(s, c.either(s, "READ", c.key))
 	if code == "" {
 		c.check("a session reads its own writes", s, c.key, row, c.seen)
 	}
@@ -187,7 +217,7 @@
 	if s.route != labpf.Latest {
 		least = 0
 	}
-	row, code := c.ask(s, "READ "+key)
+	row, code := c.ask(s, c.either(s, "READ", key))
 	if code == "" {
 		c.check("a read sees what was acknowledged", s, key, row, least)
 	}
@@ -211,7 +241,16 @@
 	a, b := fmt.Sprintf("%sa%d", c.name, c.asked), fmt.Sprintf("%sb%d", c.name, c.asked)
 	told := refused
 	defer func() { c.ledger.pair(a, b, told) }()
-	for _, text := range []string{"BEGIN", "WRITE " + a + " " + a, "WRITE " + b + " " + b} {
+	for _, item := range []string{"", a, b} {
+		text := "BEGIN"
+		if item != "" {
+			if c.random.IntN(4) == 0 {
+				if goesOn := c.setUp(s); !goesOn || !s.inside {
+					return goesOn
+				}
+			}
+			text = c.either(s, "WRITE", item+" "+item)
+		}
 		if _, code := c.ask(s, text); code != "" {
 			if code != lost {
 				_, code = c.ask(s, "ROLLBACK")
@@ -235,3 +274,59 @@
 		return code != lost
 	}
 }
+
+// phrases are texts that a part of the way may take for something else than a text.
+var phrases = []string{
+	"q2f", "q2f READ memmg", "q2f  WRITE  q2f", "q2f ", " q2f", " ", "-", "0.0", "\tq2f", "q2f\r", "q2f\rREAD q2f", "\x00q2f", "\xffq2f", "q2f\u2028",
+	"READ", "WRITE q2f q2f", "AFTER 1.1 READ q2f", "EXECUTE s1 q2f", "QUERY c1q1 READ q2f", "RESET", `"q2f`, "'; q2f --", `\q2f`, "%s%d", "{}",
+}
+
+// phrase returns one of the phrases, or at times a long text.
+func (c *caller) phrase() string {
+	const longest = 7 << 10
+	if c.random.IntN(48) == 0 {
+		return strings.Repeat("q2f READ ", 1+c.random.IntN(longest))
+	}
+	return phrases[c.random.IntN(len(phrases))]
+}
+
+// either returns the text of a statement, or that of an execution of a prepared statement of the
+// same access, if the session has one.
+func (c *caller) either(s *session, access, arguments string) string {
+	name := c.preparedName()
+	if s.prepared[name].access == access {
+		return "EXECUTE " + name + " " + arguments
+	}
+	return access + " " + arguments
+}
+
+// preparedName returns a name that other callers use too.
+func (c *caller) preparedName() string { return fmt.Sprint("s", c.random.IntN(4)) }
+
+// setUp sets a value of the session, or prepares a statement, and tells whether the session goes on.
+func (c *caller) setUp(s *session) bool {
+	name, text := c.preparedName(), c.phrase()
+	if c.random.IntN(2) == 0 {
+		_, code := c.ask(s, "SET "+name+" "+text)
+		if code == "" {
+			s.values[name] = text
+		}
+		return code != lost
+	}
+	p := prepared{access: []string{"READ", "WRITE"}[c.random.IntN(2)], shape: text}
+	_, code := c.ask(s, "PREPARE "+name+" "+p.access+" "+p.shape)
+	if code == "" {
+		s.prepared[name] = p
+	}
+	return code != lost
+}
+
+// readNothing reads what nobody writes.
+func (c *caller) readNothing(s *session) bool {
+	item := "nothing " + c.phrase()
+	row, code := c.ask(s, c.either(s, "READ", item))
+	if code == "" && row != missing {
+		c.broken("an answer is that of its own request", "%s at %s: read of %s got %s, want no value", c.name, s.proxy, digestOf(item), digestOf(row))
+	}
+	return code != lost
+}
--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -36,20 +36,22 @@
 
 func newLedger() *ledger { return &ledger{fates: make(map[string]fate), latest: make(map[string]int)} }
 
-// value names the write of a number to a key.
-func value(key string, number int) string { return fmt.Sprintf("%s=%d", key, number) }
+// value names the write of a number to a key, with a phrase that follows from the number.
+func value(key string, number int) string {
+	return fmt.Sprintf("%s=%d %s", key, number, phrases[number%len(phrases)])
+}
 
 // missing is the row of a key without a value.
 const missing = "-"
 
 // numberOf returns the number of the value of a key, or 0 for a key without a value.
-func numberOf(key, value string) (int, bool) {
-	if value == missing {
+func numberOf(key, row string) (int, bool) {
+	if row == missing {
 		return 0, true
 	}
-	text, found := strings.CutPrefix(value, key+"=")
+	text, _, _ := strings.Cut(strings.TrimPrefix(row, key+"="), " ")
 	number, err := strconv.Atoi(text)
-	return number, found && err == nil
+	return number, err == nil && row == value(key, number)
 }
 
 // note takes what a caller was told of a value.
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -6,14 +6,16 @@
 // fall silent, pass one way, delay or reset connections, a store that is down or forgets
 // its history, and primaries that are cut off from their replicas or whose orders are
 // carried out late. Faults overlap. Callers go on meanwhile, on whatever connections they
-// have, and note each answer.
+// have, and note each answer. They set values and prepare statements under names that others
+// use too, with texts that contain words of the protocol.
 //
 // What is checked: a write runs at most once, an acknowledged one is kept, and one that was
 // refused as not run is not there; a transaction is kept whole or not at all; a session
 // reads its own writes, and a read that must see everything sees what was acknowledged
-// before it; a terminated proxy ends in time and cleanly, and no proxy reports a broken
-// invariant; and when all faults are over, every proxy serves again. No process ends that the run
-// did not start.
+// before it; a member runs only what a caller sent, with the values and the prepared statement
+// that this caller had set up; a terminated proxy ends in time and cleanly, and no proxy reports a
+// broken invariant; and when all faults are over, every proxy serves again. No process ends that
+// the run did not start.
 package soak
 
 import (
@@ -66,6 +68,8 @@
 	// Lost for a connection that ended without one.
 	Answers    map[string]int
 	Promotions int
+	// Statements counts the statements of callers that members received, and that were checked.
+	Statements int
 	Faults     []Fault
 	Broken     []Broken
 }
@@ -80,6 +84,7 @@
 	members  []*link
 	proxies  []*proxy
 	ledger   *ledger
+	sent     *sent
 
 	mu     sync.Mutex
 	report Report
@@ -100,7 +105,7 @@
 func Run(ctx context.Context, options Options) (Report, error) {
 	r := &run{
 		options: options, began: time.Now(), random: rand.New(rand.NewPCG(options.Seed, 0)), //nolint:gosec // a seeded run must be repeatable
-		ledger: newLedger(), report: Report{Seed: options.Seed, Answers: make(map[string]int)},
+		ledger: newLedger(), sent: newSent(), report: Report{Seed: options.Seed, Answers: make(map[string]int)},
 	}
 	stop, err := r.start()
 	defer stop()
@@ -117,7 +122,7 @@
 	endCallers()
 	calling.Wait()
 	r.audit()
-	r.report.Promotions = r.platform.Outcome().Promotions
+	r.report.Promotions, r.report.Statements = r.platform.Outcome().Promotions, r.sent.count()
 	return r.report, r.write()
 }
 
@@ -130,7 +135,7 @@
 		}
 	}
 	platform, stopPlatform, err := labpf.New(labpf.Options{
-		Members: memberCount, Lag: replicaLag, PromoteDelay: promoteDelay, Connections: connections,
+		Members: memberCount, Lag: replicaLag, PromoteDelay: promoteDelay, Connections: connections, OnStatement: r.received,
 		Via: func(address string) (string, error) {
 			l, err := newLink(address)
 			if err != nil {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -13,6 +13,7 @@
 
 	. "github.com/onsi/gomega"
 
+	"poplarrouter.example/poplarrouter/internal/labpf"
 	"poplarrouter.example/poplarrouter/internal/soak"
 )
 
@@ -44,6 +45,7 @@
 			})
 			g.Expect(err).NotTo(HaveOccurred())
 			g.Expect(report.Answers["OK"]).To(BeNumerically(">", 0))
+			g.Expect(report.Statements).To(BeNumerically(">", 0))
 			g.Expect(report.Broken).To(BeEmpty(), cause)
 		})
 	}
@@ -91,3 +93,40 @@
 	g.Expect(err).To(HaveOccurred())
 	g.Expect(err).NotTo(MatchError(os.ErrDeadlineExceeded))
 }
+
+// TestSoakTellsAlteredStatements guards against a soak that takes an altered statement for what its
+// caller sent, as it did when members ran statements of issue 36.
+func TestSoakTellsAlteredStatements(t *testing.T) {
+	g := NewWithT(t)
+	sent := soak.NewSent()
+	values := map[string]string{"zone": "north "}
+	sent.Note("a", "READ q2f ", "", "", values, false)
+	sent.Note("b", "EXECUTE s1 x  1", "WRITE", "q2f READ memmg", nil, false)
+	sent.Note("c", "READ x", "", "", values, true)
+	sent.Note("d", "EXECUTE s1 x", "READ", strings.Repeat("q", 100)+"1", nil, false)
+	for _, st := range []labpf.Statement{
+		{ID: "a", Text: "READ q2f ", Values: map[string]string{"zone": "north "}},
+		{ID: "a", Text: "AFTER 2.17 READ q2f ", Values: values},
+		{ID: "b", Text: "EXECUTE s9 x  1", Access: "WRITE", Shape: "q2f READ memmg"},
+		{ID: "c", Text: "BEGIN", Values: values},
+		{ID: "c", Text: "READ x", Values: values},
+	} {
+		g.Expect(sent.Differs(st)).To(BeEmpty(), "%+v", st)
+	}
+	for _, st := range []labpf.Statement{
+		{ID: "z", Text: "READ q2f "},
+		{ID: "a", Text: "READ q2f", Values: values},
+		{ID: "a", Text: "AFTER 2.17 AFTER 2.17 READ q2f ", Values: values},
+		{ID: "a", Text: "BEGIN", Values: values},
+		{ID: "a", Text: "READ q2f "},
+		{ID: "a", Text: "READ q2f ", Values: map[string]string{"zone": "north"}},
+		{ID: "b", Text: "EXECUTE w_q2f READ memmg x  1", Access: "WRITE", Shape: "q2f READ memmg"},
+		{ID: "b", Text: "EXECUTE s9 x 1", Access: "WRITE", Shape: "q2f READ memmg"},
+		{ID: "b", Text: "EXECUTE s9 x  1", Access: "READ", Shape: "q2f READ memmg"},
+		{ID: "b", Text: "EXECUTE s9 x  1", Access: "WRITE", Shape: "q2f"},
+		{ID: "c", Text: "BEGIN"},
+		{ID: "d", Text: "EXECUTE s1 x", Access: "READ", Shape: strings.Repeat("q", 100) + "2"},
+	} {
+		g.Expect(sent.Differs(st)).NotTo(BeEmpty(), "%+v", st)
+	}
+}
