Soak: end sessions whose transaction stays open

A caller whose COMMIT or ROLLBACK was refused went on in the open or failed transaction. A write there would be noted as kept though it ends with the transaction, and reports would blame the proxy. Such sessions now end.

--- a/internal/soak/caller.go
+++ b/internal/soak/caller.go
@@ -235,7 +235,8 @@
 	}
 }
 
-// transact writes two values in a transaction, at times with a rest, and commits it or not.
+// transact writes two values in a transaction, at times with a rest, and commits it or not. A
+// session whose transaction did not end does not go on: a write there would be no write of its own.
 func (c *caller) transact(s *session) bool {
 	c.asked++
 	a, b := fmt.Sprintf("%sa%d", c.name, c.asked), fmt.Sprintf("%sb%d", c.name, c.asked)
@@ -255,7 +256,7 @@
 			if code != lost {
 				_, code = c.ask(s, "ROLLBACK")
 			}
-			return code != lost
+			return code != lost && !s.inside
 		}
 		if c.random.IntN(8) == 0 {
 			time.Sleep(time.Duration(c.random.IntN(400)) * time.Millisecond)
@@ -264,14 +265,14 @@
 	switch c.random.IntN(4) {
 	case 0:
 		_, code := c.ask(s, "ROLLBACK")
-		return code != lost
+		return code != lost && !s.inside
 	case 1:
 		// The caller leaves in the middle of the transaction.
 		return false
 	default:
 		_, code := c.ask(s, "COMMIT")
 		told = fateOf(code)
-		return code != lost
+		return code != lost && !s.inside
 	}
 }
 
