--- a/internal/soak/ledger.go
+++ b/internal/soak/ledger.go
@@ -2,9 +2,12 @@
 
 import (
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"sync"
+
+	"poplarrouter.example/poplarrouter/internal/event"
 )
 
 // fate is what a caller was told of a write.
@@ -33,20 +36,22 @@
 
 func newLedger() *ledger { return &ledger{fates: make(map[string]fate), latest: make(map[string]int)} }
 
-// value names the write of a number to a key.
-func value(key string, number int) string { return fmt.Sprintf("%s=%d", key, number) }
+// value names the write of a number to a key, with a phrase that follows from the number.
+func value(key string, number int) string {
+	return fmt.Sprintf("%s=%d %s", key, number, phrases[number%len(phrases)])
+}
 
 // missing is the row of a key without a value.
 const missing = "-"
 
 // numberOf returns the number of the value of a key, or 0 for a key without a value.
-func numberOf(key, value string) (int, bool) {
-	if value == missing {
+func numberOf(key, row string) (int, bool) {
+	if row == missing {
 		return 0, true
 	}
-	text, found := strings.CutPrefix(value, key+"=")
+	text, _, _ := strings.Cut(strings.TrimPrefix(row, key+"="), " ")
 	number, err := strconv.Atoi(text)
-	return number, found && err == nil
+	return number, err == nil && row == value(key, number)
 }
 
 // note takes what a caller was told of a value.
@@ -108,4 +113,18 @@
 	if lost := r.platform.Outcome().Lost; lost > 0 {
 		r.broken("an acknowledged write is kept", "promoted members lacked %d acknowledged entries", lost)
 	}
+	for _, p := range r.proxies {
+		log, err := os.ReadFile(p.log)
+		if err != nil {
+			r.broken("the run itself works", "%s", err)
+		}
+		for line := range strings.Lines(string(log)) {
+			if strings.Contains(line, brokenEvent) {
+				r.broken("a proxy reports no broken invariant", "%s: %s", p.settings.Host, strings.TrimSpace(line))
+			}
+		}
+	}
 }
+
+// brokenEvent is part of the lines with which proxies report broken invariants.
+var brokenEvent = fmt.Sprintf(`"Event":%d,`, event.InvariantBroken)
