Stand-in of members: do not run a line that was cut off

What testers saw: a member of labpf ran the beginning of a statement whose connection ended while the statement was sent.

Cause: bufio.ScanLines returns the rest of the data as a line when the connection ends. The platform's lines end in CR LF.

Change: data without a line end is no line.

--- a/internal/labpf/member.go
+++ b/internal/labpf/member.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"net"
 	"strconv"
@@ -100,6 +101,7 @@
 	s.reset()
 	lines := bufio.NewScanner(conn)
 	lines.Buffer(nil, maxLine)
+	lines.Split(splitLine)
 	for lines.Scan() {
 		word, rest, _ := strings.Cut(lines.Text(), " ")
 		switch word {
@@ -126,6 +128,14 @@
 	}
 }
 
+// splitLine is a bufio.SplitFunc for lines. The rest of a line that was cut off is none.
+func splitLine(data []byte, atEOF bool) (advance int, line []byte, err error) {
+	if !bytes.Contains(data, []byte("\n")) {
+		return 0, nil, nil
+	}
+	return bufio.ScanLines(data, atEOF)
+}
+
 func (s *session) reset() {
 	s.values, s.prepared = make(map[string]string), make(map[string]preparedStatement)
 }
