Relay: write nothing after an outcome that was cut off

When an owner that starts to drain could write only a part of its drain notice within the time limit, because the caller's proxy was paused and the send buffer was full, the outcome of the next job followed that part on the same connection. The caller's proxy then read the notice's missing bytes from the outcome, and the rest of it, which contains rows, as the next message. Likewise a notice could follow an outcome that was cut off, before the connection was closed.

Cause: the error of a notice was discarded, and each write stood for itself.

Change: outcomes and notices are written one at a time. After one that was written in part, the connection is closed and nothing more is written. A notice of which nothing was written leaves the connection as it is, as before.

Evidence: TestNothingFollowsAnOutcomeThatWasCutOff failed before: after 6 bytes of the notice it received the 23 bytes of the outcome of job 1.

--- a/internal/relay/serve.go
+++ b/internal/relay/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,12 +25,13 @@
 
 // Serve implements front.Protocol.
 func (Protocol) Serve(ctx context.Context, s *front.Session) error {
+	out := &outcomeWriter{conn: s.Conn}
 	s.OnDrain(func() {
 		// If the notice cannot be sent, the answer to the next job still reports the drain.
-		_ = answer(s, Outcome{Draining: true})
+		_ = out.put(Outcome{Draining: true})
 	})
 	s.OnClose(func() {
-		if answer(s, Outcome{Draining: true, Closing: true}) == nil {
+		if out.put(Outcome{Draining: true, Closing: true}) == nil {
 			s.CloseWrite()
 		}
 	})
@@ -53,23 +55,40 @@
 		last = job.Number
 		outcome.Number = job.Number
 		s.Memory.Send(len(outcome.Text) + outcome.Reply.Bytes())
-		if err := answer(s, outcome); err != nil {
+		if err := out.put(outcome); err != nil {
 			return err
 		}
 	}
 }
 
-// answer sends an outcome in one write, so that a concurrent drain notice cannot be written
-// into the middle of it.
-func answer(s *front.Session, o Outcome) error {
+// outcomeWriter sends outcomes, one at a time: answers to jobs and concurrent notices. It closes
+// the connection after an outcome of which only a part was written, and sends nothing more.
+type outcomeWriter struct {
+	conn net.Conn
+
+	mu sync.Mutex
+	// cut is the error of a write that sent only a part of an outcome.
+	cut error
+}
+
+func (w *outcomeWriter) put(o Outcome) error {
 	raw, err := peer.EncodeArray(o)
 	if err != nil {
 		return err
 	}
-	if err := s.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.cut != nil {
+		return w.cut
+	}
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return err
 	}
-	_, err = s.Write(raw)
+	written, err := w.conn.Write(raw)
+	if err != nil && written > 0 {
+		w.cut = err
+		return errors.CombineErrors(err, w.conn.Close())
+	}
 	return err
 }
 
