Tell unsent requests by what was sent, not by their fault

The count of sends, by which the invariant honest-refusal checks a refusal, followed from the outcome of the fault itself, so that a member's protocol that reports a fault of the outcome not run after it has sent a statement would neither be noticed nor kept from being sent twice.

Change: flow.Member.Send returns an *UnsentError if it has sent nothing, and the chain takes the send back only for such an answer (Answer.Unsent).

--- a/internal/chain/chain.go
+++ b/internal/chain/chain.go
@@ -180,6 +180,8 @@
 	// Rejection is the reason for which the member rejected the request before any of it ran,
 	// or nil. The connection can be reused unless it is dirty.
 	Rejection *fault.Error
+	// Unsent is set if Run failed before it sent any of the request.
+	Unsent bool
 	// Committed is the position of the request's write that is still to be confirmed, or zero.
 	Committed group.Floor
 	// Confirmed is the position of a write that the member confirmed itself, or zero.
--- a/internal/chain/run.go
+++ b/internal/chain/run.go
@@ -35,7 +35,7 @@
 	r.Answer = answer
 	if err != nil {
 		f.releaseLease(r, false)
-		if fault.FromError(err).Kind.Outcome() == fault.NotRun {
+		if answer.Unsent {
 			r.sends--
 		}
 		return err
--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -106,9 +106,8 @@
 	c.waitingSince.Store(time.Now().UnixNano())
 	defer c.waitingSince.Store(0)
 	if err := c.Send(queries); err != nil {
-		var unsent *fault.Error
-		if errors.As(err, &unsent) && unsent.Kind.Outcome() == fault.NotRun {
-			return nil, unsent
+		if isUnsent(err) {
+			return nil, err
 		}
 		c.noteEnd(err)
 		return nil, fault.Wrap(err, fault.Severed, "send", "the connection to the member ended while the statements were sent")
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -15,6 +15,8 @@
 	"math"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"poplarrouter.example/poplarrouter/internal/stmt"
 	"poplarrouter.example/poplarrouter/pkg/fault"
 	"poplarrouter.example/poplarrouter/pkg/group"
@@ -127,13 +129,26 @@
 	SetDeadline(t time.Time) error
 	// Close closes the connection at once.
 	Close() error
-	// Send sends a pipeline of queries. A fault whose outcome is NotRun means that it has sent no
-	// part of it.
+	// Send sends a pipeline of queries. It returns an *UnsentError if it has sent no part of it.
 	Send(queries []Query) error
 	// Receive returns the reply to the next query that was sent.
 	Receive() (Reply, error)
 }
 
+// UnsentError reports a pipeline of which nothing was sent. The outcome of its fault is NotRun.
+type UnsentError struct{ Fault *fault.Error }
+
+// Error implements error.
+func (e *UnsentError) Error() string { return e.Fault.Error() }
+
+// Unwrap returns the fault.
+func (e *UnsentError) Unwrap() error { return e.Fault }
+
+func isUnsent(err error) bool {
+	var unsent *UnsentError
+	return errors.As(err, &unsent)
+}
+
 // Start names the service that a caller connects to, and the key or the name that the caller
 // presented. It must not be logged: whether it is a key follows from the sheet.
 type Start struct {
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -208,7 +208,7 @@
 	if opens {
 		refusal, phase, err := x.open(conn, o)
 		if err != nil {
-			return chain.Answer{}, err
+			return chain.Answer{Unsent: isUnsent(err)}, err
 		}
 		if refusal.Refusal != Accepted {
 			return x.rejected(conn, refusal, phase)
@@ -217,7 +217,7 @@
 	p := x.statement(conn.setup, o)
 	replies, err := p.send(conn)
 	if err != nil {
-		return chain.Answer{}, err
+		return chain.Answer{Unsent: isUnsent(err)}, err
 	}
 	main, last := replies[p.main], replies[len(replies)-1]
 	if p.open >= 0 && replies[p.open].Refusal != Accepted {
