Keep names of portals and statements in the stand-in

What operators saw: nothing; only the stand-in of members is concerned. It ran a portal of an earlier caller of the pooled connection, answered for portals that do not exist, and let a statement take the name of another, where PostgreSQL answers 34000 and 42P05. Requests that run there as another statement, or fail, passed the tests.

Cause: portals were never dropped, and names were overwritten.

Change: portals end with their transaction and by Close; names that do not exist, or exist already, are refused.

Evidence: TestNamesOfStatementsAndPortalsAreKept failed before: "a portal ends with its transaction": got 7, want 34000. Now it passes, as do ./internal/pgmem and ./internal/labset.

--- a/internal/labdb/session.go
+++ b/internal/labdb/session.go
@@ -196,6 +196,10 @@
 }
 
 func (s *session) ready() bool {
+	if !s.explicit {
+		// Portals end with their transaction.
+		clear(s.portals)
+	}
 	status := byte('I')
 	switch {
 	case s.failed && s.explicit:
@@ -210,6 +214,9 @@
 func (s *session) extended(ctx context.Context, message pgproto3.FrontendMessage) error {
 	switch msg := message.(type) {
 	case *pgproto3.Parse:
+		if _, found := s.prepared[msg.Name]; found && msg.Name != "" {
+			return &stateError{"42P05", "prepared statement " + strconv.Quote(msg.Name) + " already exists"}
+		}
 		s.prepared[msg.Name] = msg.Query
 		s.backend.Send(&pgproto3.ParseComplete{})
 	case *pgproto3.Bind:
@@ -219,10 +226,16 @@
 	case *pgproto3.Execute:
 		s.extendedly = true
 		defer func() { s.extendedly = false }()
-		return s.run(ctx, s.portals[msg.Portal], false)
+		p, err := s.portal(msg.Portal)
+		if err != nil {
+			return err
+		}
+		return s.run(ctx, p, false)
 	case *pgproto3.Close:
 		if msg.ObjectType == 'S' {
 			delete(s.prepared, msg.Name)
+		} else {
+			delete(s.portals, msg.Name)
 		}
 		s.backend.Send(&pgproto3.CloseComplete{})
 	default:
@@ -231,6 +244,14 @@
 	return nil
 }
 
+func (s *session) portal(name string) (portal, error) {
+	p, found := s.portals[name]
+	if !found {
+		return portal{}, &stateError{"34000", "no portal " + strconv.Quote(name)}
+	}
+	return p, nil
+}
+
 func (s *session) bind(msg *pgproto3.Bind) error {
 	text, found := s.prepared[msg.PreparedStatement]
 	if !found {
@@ -276,7 +297,10 @@
 
 func (s *session) describe(ctx context.Context, msg *pgproto3.Describe) error {
 	if msg.ObjectType == 'P' {
-		p := s.portals[msg.Name]
+		p, err := s.portal(msg.Name)
+		if err != nil {
+			return err
+		}
 		return s.describeText(ctx, p.text, p.args, p.formats)
 	}
 	text, found := s.prepared[msg.Name]
