Do not use connections again on which objects were made

What callers saw: a temporary table stayed on the pooled connection and hid the table of the same name from other callers there, whose statements ran on it.

Cause: the tag of the answer says CREATE TABLE for both kinds, and was not looked at.

Change: a connection is not used again after any CREATE. SELECT INTO TEMP and CREATE TABLE AS answer with the tag of SELECT and are still not noticed.

Evidence: TestTemporaryObjectsDoNotOutliveTheirConnection failed before for CREATE TABLE: got false, want true.

--- a/internal/wire/relay.go
+++ b/internal/wire/relay.go
@@ -134,6 +134,9 @@
 		r.answer.Dirty = true
 	case "DEALLOCATE ALL", "DISCARD ALL":
 		clear(r.prepared)
+	default:
+		// The tag does not say whether the object is temporary.
+		r.answer.Dirty = r.answer.Dirty || bytes.HasPrefix(tag, []byte("CREATE "))
 	}
 }
 
