Refuse settings of the proxy that it does not understand

What callers saw: a SET of the proxy's kind or floor that it did not recognise went to a member, which takes any such name for a setting of its own and answers SET. Examples: a comment before or behind it, SET LOCAL, or a second statement in the same query. The caller's work then ran with the former kind, or without the floor. Of a value with one quote the rest was taken.

Cause: the pattern for the proxy's statements was the only check; any other text was taken for a member's.

Change: white space and comments before a statement are skipped, a value is a literal or one word, and any other SET or SHOW of the two settings is refused with a Protocol fault. TestLocalStatements wanted "SET poplarrouter.kind = 'a'; DROP TABLE t" passed on, which runs DROP TABLE as work of the former kind; the case is now in the new test, which wants it refused.

Evidence: TestSettingsOfTheProxyReachNoMember failed before, first for that text: no error. It passes now, and ./internal/labset does.

--- a/internal/wire/batch.go
+++ b/internal/wire/batch.go
@@ -231,9 +231,13 @@
 }
 
 // recordText records the text of a statement of the batch. It returns a Protocol fault for a
-// statement that the proxy answers itself in a batch with another one.
+// statement that the proxy answers itself in a batch with another one, or that it cannot read.
 func (c *Collector) recordText(text string) error {
-	b, local := c.batch, parseLocal(text)
+	local, err := parseLocal(text)
+	if err != nil {
+		return err
+	}
+	b := c.batch
 	if !b.recorded {
 		b.recorded, b.FirstStatement, b.Local = true, text, local
 		return nil
--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -146,3 +146,32 @@
 	g.Expect(w.Flush()).To(Succeed())
 	g.Expect(types(out.Bytes())).To(Equal("3CZ"), "each message is answered")
 }
+
+// TestSettingsOfTheProxyReachNoMember guards against a setting of the proxy that it does not
+// understand and a member takes for one of its own, so that it has no effect.
+func TestSettingsOfTheProxyReachNoMember(t *testing.T) {
+	g := NewWithT(t)
+	for _, text := range []string{
+		"SET poplarrouter.kind = 'a'; DROP TABLE t", "SET LOCAL poplarrouter.kind = 'a'", "SET poplarrouter.kind = 'a' -- why",
+		"SET poplarrouter.kind = 'a''b'", "SET poplarrouter.kind = 'a", "SET poplarrouter.kind = a'", "SET poplarrouter.kind = a b",
+		"SET poplarrouter.floor", "SET poplarrouter.kind =", "SET poplarrouter.kind E'a'", "SHOW poplarrouter.kind; SELECT 1", "set poplarrouter.FLOOR = 1:2, x",
+		"/* app */ SET poplarrouter.kind = 'a'; SELECT 1",
+	} {
+		_, err := wire.NewCollector(limit).Add(&pgproto3.Query{String: text})
+		g.Expect(err).To(HaveOccurred(), text)
+		g.Expect(fault.FromError(err).Kind).To(Equal(fault.Protocol), text)
+		_, err = wire.NewCollector(limit).Add(&pgproto3.Parse{Query: text})
+		g.Expect(err).To(HaveOccurred(), text)
+	}
+	for text, value := range map[string]string{
+		"SET poplarrouter.kind = a": "a", "SET poplarrouter.kind='a b'": "a b", "SET poplarrouter.kind TO ''": "", "SET poplarrouter.floor = 1:2;": "1:2",
+		"\vset\tSESSION poplarrouter.kind to 'a' ; ": "a", "-- why\n/* app */SET poplarrouter.kind = 'a'": "a",
+	} {
+		local := collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text}).Local
+		g.Expect(local).NotTo(BeNil(), text)
+		g.Expect(local.Value).To(Equal(value), text)
+	}
+	for _, text := range []string{"SET poplarrouterkind = a", "SET search_path = 'poplarrouter.kind'", "SETTING", "SELECT 'SET poplarrouter.kind = x'", "SET poplarrouter.kinds = a", "SHOW ALL", "-- SET poplarrouter.kind = 'a'", "/* SET poplarrouter.kind = 'a'", "/", ""} {
+		g.Expect(collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text}).Local).To(BeNil(), text)
+	}
+}
--- a/internal/wire/local.go
+++ b/internal/wire/local.go
@@ -5,6 +5,8 @@
 	"strings"
 
 	"github.com/jackc/pgx/v5/pgproto3"
+
+	"poplarrouter.example/poplarrouter/pkg/fault"
 )
 
 // The settings of the proxy. Callers set them in the start-up message or by SET.
@@ -26,33 +28,60 @@
 }
 
 var (
-	setPattern   = regexp.MustCompile(`(?i)^\s*SET\s+(?:SESSION\s+)?(poplarrouter\.kind|poplarrouter\.floor)\s*(?:=|\bTO\b)\s*'?([^';]*?)'?\s*;?\s*$`)
-	showPattern  = regexp.MustCompile(`(?i)^\s*SHOW\s+(poplarrouter\.kind|poplarrouter\.floor)\s*;?\s*$`)
+	setPattern   = regexp.MustCompile(`(?i)^SET\s+(?:SESSION\s+)?(poplarrouter\.kind|poplarrouter\.floor)\s*(?:=|\bTO\b)\s*(?:'([^']*)'|([^\s';]+))\s*;?\s*$`)
+	showPattern  = regexp.MustCompile(`(?i)^SHOW\s+(poplarrouter\.kind|poplarrouter\.floor)\s*;?\s*$`)
+	ownPattern   = regexp.MustCompile(`(?i)^(?:SET\s+(?:SESSION\s+|LOCAL\s+)?|SHOW\s+)poplarrouter\.(?:kind|floor)\b`)
 	beginPattern = regexp.MustCompile(`(?i)^\s*(?:BEGIN|START\s+TRANSACTION)\b[^;]*\bREAD\s+ONLY\b`)
 )
 
-// parseLocal returns the statement that the proxy answers itself, or nil for any other text.
-func parseLocal(text string) *LocalStatement {
-	if !mayBeLocal(text) {
-		return nil
+// parseLocal returns the statement that the proxy answers itself, or nil for any other text. It
+// returns a Protocol fault for a statement about a setting of the proxy that is not of the form that
+// it answers.
+func parseLocal(text string) (*LocalStatement, error) {
+	text = text[statementStart(text):]
+	if !hasPrefixFold(text, "SET") && !hasPrefixFold(text, "SHOW") {
+		return nil, nil //nolint:nilnil // most statements are not the proxy's
 	}
 	if match := setPattern.FindStringSubmatch(text); match != nil {
-		return &LocalStatement{Setting: strings.ToLower(match[1]), Value: match[2]}
+		return &LocalStatement{Setting: strings.ToLower(match[1]), Value: match[2] + match[3]}, nil
 	}
 	if match := showPattern.FindStringSubmatch(text); match != nil {
-		return &LocalStatement{Setting: strings.ToLower(match[1]), Show: true}
+		return &LocalStatement{Setting: strings.ToLower(match[1]), Show: true}, nil
+	}
+	if ownPattern.MatchString(text) {
+		return nil, fault.New(fault.Protocol, "read request", "got a statement about a setting of the proxy that it does not understand, want SET NAME = 'VALUE' or SHOW NAME alone")
 	}
-	return nil
+	return nil, nil //nolint:nilnil // as above
+}
+
+func hasPrefixFold(text, prefix string) bool {
+	return len(text) >= len(prefix) && strings.EqualFold(text[:len(prefix)], prefix)
 }
 
-// mayBeLocal reports whether a text begins like SET or SHOW.
-func mayBeLocal(text string) bool {
-	i := 0
-	for i < len(text) && (text[i] == ' ' || (text[i] >= '\t' && text[i] <= '\r')) {
-		i++
+// statementStart returns where a text begins after white space and comments.
+func statementStart(text string) int {
+	for i := 0; i < len(text); {
+		rest := text[i:]
+		end := ""
+		switch {
+		case rest[0] == ' ' || (rest[0] >= '\t' && rest[0] <= '\r'):
+			i++
+			continue
+		case strings.HasPrefix(rest, "--"):
+			end = "\n"
+		case strings.HasPrefix(rest, "/*"):
+			end = "*/"
+		default:
+			return i
+		}
+		const begin = len("--")
+		at := strings.Index(rest[begin:], end)
+		if at < 0 {
+			break
+		}
+		i += begin + at + len(end)
 	}
-	return i < len(text) && (text[i] == 's' || text[i] == 'S') &&
-		(strings.EqualFold(text[i:min(i+len("SET"), len(text))], "SET") || strings.EqualFold(text[i:min(i+len("SHOW"), len(text))], "SHOW"))
+	return len(text)
 }
 
 // BeginsReadOnly reports whether the batch begins a read-only transaction.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -100,7 +100,6 @@
 		"set session poplarrouter.floor to '3:12' ;": {Setting: wire.FloorSetting, Value: "3:12"},
 		"SHOW poplarrouter.floor":                    {Setting: wire.FloorSetting, Show: true},
 		"SET search_path = x":                        nil,
-		"SET poplarrouter.kind = 'a'; DROP TABLE t":  nil,
 		"SELECT 'SET poplarrouter.kind = x'":         nil,
 	} {
 		b := collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text})
