Do not send documents that do not fit into a frame

What operators would see: a list that entries of other writers have made larger than a frame, also compressed, ends a connection between two hosts (event 702) with each fetch, about once a second, and with it heartbeats and votes.

Cause: the size of a frame is checked when it is written, where an error ends the connection.

Evidence: TestDocumentLargerThanAFrameIsNotSent failed before, since the frame of such a document was made.

--- a/internal/peer/docs.go
+++ b/internal/peer/docs.go
@@ -33,7 +33,12 @@
 	Deflated []byte `msgpack:"Body"`
 }
 
-// NewDocFrame returns the frame of a document.
+// maxDeflated is the size in bytes of the largest compressed document. The rest of a frame is for its
+// other fields.
+const maxDeflated = MaxFrame - 1<<12
+
+// NewDocFrame returns the frame of a document. It returns a *FrameError if the document does not fit
+// into a frame.
 func NewDocFrame(doc book.Doc) (DocFrame, error) {
 	var buffer bytes.Buffer
 	w, err := flate.NewWriter(&buffer, flate.DefaultCompression)
@@ -46,6 +51,9 @@
 	if err := w.Close(); err != nil {
 		return DocFrame{}, err
 	}
+	if buffer.Len() > maxDeflated {
+		return DocFrame{}, &FrameError{Got: fmt.Sprintf("a document of %d bytes, compressed", buffer.Len()), Want: fmt.Sprintf("at most %d", maxDeflated)}
+	}
 	return DocFrame{Kind: doc.Kind, Serial: doc.Serial, Deflated: buffer.Bytes()}, nil
 }
 
--- a/internal/peer/docs_test.go
+++ b/internal/peer/docs_test.go
@@ -178,6 +178,21 @@
 	g.Expect(bytes.Equal(exchanged.Body, body)).To(BeTrue())
 }
 
+// TestDocumentLargerThanAFrameIsNotSent guards against connections between hosts that end, with
+// heartbeats and votes, whenever a document is fetched that does not fit into a frame.
+func TestDocumentLargerThanAFrameIsNotSent(t *testing.T) {
+	g := NewWithT(t)
+	random := rand.NewChaCha8([32]byte{})
+	body := make([]byte, peer.MaxFrame)
+	_, _ = random.Read(body)
+	_, err := peer.NewDocFrame(book.Doc{Kind: book.Databases, Serial: 9, Body: body})
+	g.Expect(err).To(BeAssignableToTypeOf(&peer.FrameError{}))
+	frame, err := peer.NewDocFrame(book.Doc{Kind: book.Databases, Serial: 9, Body: body[:peer.MaxFrame-1<<13]})
+	g.Expect(err).NotTo(HaveOccurred())
+	_, err = peer.Encode(peer.Frame{Doc: &frame})
+	g.Expect(err).NotTo(HaveOccurred())
+}
+
 // busyOnce is a recorder that drops the first document, as a proxy does whose queue is full.
 type busyOnce struct {
 	recorder
