Check the refusals and phases that other hosts answer with

What callers would see: an ERROR line without a code, or a READY line without a state, after a request that another host answered with a refusal or a phase that this release does not have. The fields after it are then read as others.

Cause: the numbers in the answer to a relayed job became words of the caller's protocol by a table, without being checked.

Change: such an answer counts as none (Severed), because it is not known what it says about the request.

Evidence: TestReplyThatCannotBeToldToTheCallerIsUnknown failed before with "Expected an error to have occurred".

--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -73,6 +73,9 @@
 	Unauthorized
 )
 
+// Known reports whether the refusal is one of this release. Another host may send a different one.
+func (r Refusal) Known() bool { return r <= Unauthorized }
+
 // String returns a description of the refusal.
 func (r Refusal) String() string {
 	return [...]string{
--- a/internal/relay/conn.go
+++ b/internal/relay/conn.go
@@ -149,6 +149,9 @@
 		}
 		return fault.New(o.Fault, "run at "+c.owner.host.Name, "%s", o.Text)
 	}
+	if !o.Reply.Refusal.Known() || !o.Reply.Phase.Known() {
+		return fault.New(fault.Severed, "run at "+c.owner.host.Name, "got refusal %d in phase %d, want those of this release: %s", uint8(o.Reply.Refusal), uint8(o.Reply.Phase), o.Reply.Text)
+	}
 	x.Finish(o.Reply)
 	r.Answer = chain.Answer{Idle: x.Idle(), Whole: true, Confirmed: o.Confirmed, MemberPosition: o.Reply.Position}
 	return nil
--- a/internal/stmt/stmt.go
+++ b/internal/stmt/stmt.go
@@ -78,6 +78,9 @@
 	Failed
 )
 
+// Known reports whether the phase is one of this release. Another host may send a different one.
+func (p Phase) Known() bool { return p <= Failed }
+
 // Session is the state that a caller has set up. The zero Session is empty.
 type Session struct {
 	values   map[string]string
