Count statements that a proxy refuses unread as unsent

A statement that flow.Exchange.Run refuses before it touches the connection, as another proxy may relay it, counted as sent, so that its refusal as not run would have been reported as a broken invariant (901).

--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -201,7 +201,7 @@
 // Run implements chain.Exchange.
 func (x *Exchange) Run(l member.ProtocolConn, o chain.RunOptions) (chain.Answer, error) {
 	if err := x.check(); err != nil {
-		return chain.Answer{}, err
+		return chain.Answer{Unsent: true}, err
 	}
 	conn := l.(*MemberConn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
 	opens := x.opens()
