Read BEGIN READ ONLY without text of comments

What callers saw: a transaction that writes, begun with a comment such as "BEGIN /* not READ ONLY */", was routed as a read: its writes failed at a read-only connection (25006).

Cause: the pattern took any text up to a semicolon between BEGIN and READ ONLY.

Change: between them only modes and whole comments may stand.

Evidence: TestCommentsOpenNoReadOnlyTransaction failed before for that text: got true, want false.

--- a/internal/wire/batch_test.go
+++ b/internal/wire/batch_test.go
@@ -175,3 +175,16 @@
 		g.Expect(collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text}).Local).To(BeNil(), text)
 	}
 }
+
+// TestCommentsOpenNoReadOnlyTransaction guards against a transaction that writes and is routed as a
+// read because of a comment or a literal in its first statement.
+func TestCommentsOpenNoReadOnlyTransaction(t *testing.T) {
+	g := NewWithT(t)
+	for text, readOnly := range map[string]bool{
+		"BEGIN /* not READ ONLY */": false, "BEGIN -- READ ONLY": false, "START TRANSACTION /* READ ONLY */ READ WRITE": false,
+		"BEGIN 'READ ONLY'": false, "BEGIN READ ONLYX": false,
+		"BEGIN READ  ONLY": true, "BEGIN /* app */ READ ONLY": true, "BEGIN ISOLATION LEVEL REPEATABLE READ, READ ONLY;": true, "begin work not deferrable\n, read only": true,
+	} {
+		g.Expect(collect(g, wire.NewCollector(limit), &pgproto3.Query{String: text}).BeginsReadOnly()).To(Equal(readOnly), text)
+	}
+}
--- a/internal/wire/local.go
+++ b/internal/wire/local.go
@@ -31,7 +31,7 @@
 	setPattern   = regexp.MustCompile(`(?i)^SET\s+(?:SESSION\s+)?(poplarrouter\.kind|poplarrouter\.floor)\s*(?:=|\bTO\b)\s*(?:'([^']*)'|([^\s';]+))\s*;?\s*$`)
 	showPattern  = regexp.MustCompile(`(?i)^SHOW\s+(poplarrouter\.kind|poplarrouter\.floor)\s*;?\s*$`)
 	ownPattern   = regexp.MustCompile(`(?i)^(?:SET\s+(?:SESSION\s+|LOCAL\s+)?|SHOW\s+)poplarrouter\.(?:kind|floor)\b`)
-	beginPattern = regexp.MustCompile(`(?i)^\s*(?:BEGIN|START\s+TRANSACTION)\b[^;]*\bREAD\s+ONLY\b`)
+	beginPattern = regexp.MustCompile(`(?i)^\s*(?:BEGIN|START\s+TRANSACTION)\b(?:[\w\s,]|/\*[^*]*\*/)*\bREAD\s+ONLY\b`)
 )
 
 // parseLocal returns the statement that the proxy answers itself, or nil for any other text. It
