Keep names within the message of an error

What callers saw: with a NUL in the name of a host or member (a list is JSON and may hold one), or in the text of a fault from another host, the rest of the message was read as other fields of the error. It could replace the SQLSTATE, so that a request that may have run was reported as one that has not.

Cause: texts of the protocol end at a NUL, and the message was encoded as it was.

Change: a NUL in the message is written as \x00.

Evidence: TestNamesInFaultsStayInTheMessage failed before: got PN001, want PU001. It passes now.

--- a/internal/pgfrt/login.go
+++ b/internal/pgfrt/login.go
@@ -280,8 +280,10 @@
 }
 
 func errorResponse(err *fault.Error) *pgproto3.ErrorResponse {
+	// A NUL would end the message, and its rest would be read as other fields.
+	message := strings.ReplaceAll(err.Message(), "\x00", `\x00`)
 	return &pgproto3.ErrorResponse{
-		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: err.Kind.SQLState(), Message: err.Message(),
+		Severity: "ERROR", SeverityUnlocalized: "ERROR", Code: err.Kind.SQLState(), Message: message,
 		Detail: "Outcome: " + err.Kind.Outcome().String() + ".",
 	}
 }
