Check a sheet by its size as it is stored

What operators saw: poplarrouter sheet check calls a sheet of nearly 1 MiB valid, and load then fails with "put Sheet: got ... bytes, want at most 1048576".

Cause: the size of the CSV text is checked, but it is stored as a JSON string, in which each line end and each quotation mark takes two bytes, beside the other fields.

Change: check and load both check the encoded size, with room for the other fields.

--- a/cmd/poplarrouter/sheet.go
+++ b/cmd/poplarrouter/sheet.go
@@ -18,7 +18,6 @@
 	"poplarrouter.example/poplarrouter/internal/cli"
 	"poplarrouter.example/poplarrouter/internal/pgfrt"
 	"poplarrouter.example/poplarrouter/internal/store"
-	"poplarrouter.example/poplarrouter/pkg/sheet"
 )
 
 const (
@@ -112,7 +111,7 @@
 	if err != nil {
 		return err
 	}
-	parsed, err := sheet.Parse(strings.NewReader(string(raw)))
+	parsed, err := book.Check(string(raw))
 	if err != nil {
 		return err
 	}
--- a/internal/book/load.go
+++ b/internal/book/load.go
@@ -55,12 +55,33 @@
 	return doc, object.Version, nil
 }
 
+// envelopeBytes is the room for the other fields of a stored sheet.
+const envelopeBytes = 1 << 10
+
+// Check parses a sheet that is to be loaded. It returns sheet.Errors for an invalid one, and a
+// *store.SizeError for one that is larger than a value of the store as it is stored, where line ends
+// and quotation marks take two bytes.
+func Check(csv string) (sheet.Sheet, error) {
+	parsed, err := sheet.Parse(strings.NewReader(csv))
+	if err != nil {
+		return sheet.Sheet{}, err
+	}
+	encoded, err := json.Marshal(csv)
+	if err != nil {
+		return sheet.Sheet{}, err
+	}
+	if n := len(encoded) + envelopeBytes; n > store.MaxValue {
+		return sheet.Sheet{}, &store.SizeError{Key: string(Sheet), Got: n, Max: store.MaxValue}
+	}
+	return parsed, nil
+}
+
 // Load validates a sheet and writes it to the store, unless another operator loads one
 // at the same time. It returns sheet.Errors for an invalid sheet, a *ConflictError if
-// another operator was first, and an *OutcomeUnknownError if the store's answer was
+// another operator was first, a *store.SizeError for one that is too large, and an *OutcomeUnknownError if the store's answer was
 // lost and the outcome could not be read back.
 func Load(ctx context.Context, s store.Store, operator, csv string, now time.Time) (SheetDoc, error) {
-	if _, err := sheet.Parse(strings.NewReader(csv)); err != nil {
+	if _, err := Check(csv); err != nil {
 		return SheetDoc{}, err
 	}
 	previous, version, err := Fetch(ctx, s)
--- a/pkg/sheet/sheet.go
+++ b/pkg/sheet/sheet.go
@@ -30,8 +30,7 @@
 
 // Limits of one sheet.
 const (
-	// MaxBytes is the largest size of a sheet in bytes. Such a sheet still fits into one
-	// value of the store.
+	// MaxBytes is the largest size of a sheet in bytes. As it is stored, a sheet is larger.
 	MaxBytes = 1 << 20
 	// MaxDeadline is the longest deadline that a row may have.
 	MaxDeadline = time.Hour
