Send no notice of a drain after an answer that was cut off

What callers would see: over PostgreSQL, a caller that reads slowly while the proxy drains reads the notice that the proxy is draining as the rest of a row or of another message. An answer that a caller did not read in time is cut off within a message; the caller's session then ended with the notice if the drain had begun to end it.

Cause: the notice is written to the connection itself, past the writer that writes nothing after an error.

Change: a session notes that a write sent only a part, and then ends without a notice.

Evidence: TestNothingFollowsAnAnswerThatWasCutOff failed before: one notice after a message of 64 MiB that was cut off, want none. After a whole message there is still one.

--- a/internal/front/front.go
+++ b/internal/front/front.go
@@ -157,7 +157,7 @@
 	defer func() { _ = s.Close() }()
 	defer f.remove(s)
 	err := f.options.Protocol.Serve(ctx, s)
-	if s.Ending() {
+	if s.Ending() && !s.cut.Load() {
 		f.refuse(s.Conn, fault.New(fault.Leaving, "wait for request", "this proxy is draining"))
 	}
 	s.Rollback()
--- a/internal/front/session.go
+++ b/internal/front/session.go
@@ -6,6 +6,7 @@
 	"net"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"poplarrouter.example/poplarrouter/internal/budget"
@@ -51,6 +52,8 @@
 	ending  bool
 	// accepted is set once the caller has logged in.
 	accepted bool
+	// cut is set once only a part of a write was sent.
+	cut atomic.Bool
 }
 
 func newSession(f *Front, conn net.Conn, id uint64) *Session {
@@ -59,6 +62,15 @@
 	return s
 }
 
+// Write implements net.Conn.
+func (s *Session) Write(p []byte) (int, error) {
+	n, err := s.Conn.Write(p)
+	if err != nil && n > 0 {
+		s.cut.Store(true)
+	}
+	return n, err
+}
+
 // Options returns the options of the session's front.
 func (s *Session) Options() Options { return s.front.options }
 
--- a/internal/pgfrt/pgfrt.go
+++ b/internal/pgfrt/pgfrt.go
@@ -37,7 +37,7 @@
 func (Protocol) Serve(ctx context.Context, base *front.Session) error {
 	s := &session{
 		Session: base,
-		out:     wire.NewWriter(base.Conn),
+		out:     wire.NewWriter(base),
 		collect: wire.NewCollector(base.Options().RequestBytes),
 		key:     newKey(),
 		status:  wire.Idle,
