Refuse documents under a serial that is not their own

What operators would see: a host that takes a document under a serial that is higher than the one in its body ignores all newer ones up to that serial, passes it on under that serial, and shows the other one in its status.

Cause: the serial of a document from another host was taken from the frame and not compared with that of the body.

One from the store has its serial from its body, as before.

Evidence: TestDocumentOfAnotherSerialIsRejected failed before, since the documents were accepted.

--- a/internal/book/book.go
+++ b/internal/book/book.go
@@ -230,7 +230,7 @@
 		return b.decodeSheet(doc)
 	case Databases:
 		var body DatabasesDoc
-		if err := unmarshal(doc, &body); err != nil {
+		if err := unmarshal(doc, &body, &body.Serial); err != nil {
 			return err
 		}
 		b.databases = body.Databases
@@ -241,7 +241,7 @@
 		}
 	case Hosts:
 		var body HostsDoc
-		if err := unmarshal(doc, &body); err != nil {
+		if err := unmarshal(doc, &body, &body.Serial); err != nil {
 			return err
 		}
 		b.hosts = body.Hosts
@@ -253,7 +253,7 @@
 
 func (b *DocumentSet) decodeSheet(doc Doc) error {
 	var body SheetDoc
-	if err := unmarshal(doc, &body); err != nil {
+	if err := unmarshal(doc, &body, &body.Serial); err != nil {
 		return err
 	}
 	if body.CSV == "" && body.Rows != nil {
@@ -268,9 +268,14 @@
 	return nil
 }
 
-func unmarshal(doc Doc, into any) error {
+// unmarshal decodes the body of a document. The serial is a field of the decoded body, which must be
+// that of the document if the body has one.
+func unmarshal(doc Doc, into any, serial *uint64) error {
 	if err := json.Unmarshal(doc.Body, into); err != nil {
 		return &BodyError{Kind: doc.Kind, Detail: err.Error()}
 	}
+	if *serial != 0 && *serial != doc.Serial {
+		return &BodyError{Kind: doc.Kind, Detail: fmt.Sprintf("got serial %d of a body with serial %d, want the same", doc.Serial, *serial)}
+	}
 	return nil
 }
--- a/internal/book/book_test.go
+++ b/internal/book/book_test.go
@@ -129,3 +129,18 @@
 	_, err := book.ParseDoc(book.Hosts, []byte(`{}`))
 	g.Expect(err).To(MatchError(ContainSubstring("no serial")))
 }
+
+// TestDocumentOfAnotherSerialIsRejected guards against a document that another host passes on under
+// a serial that is not its own: all newer ones would be ignored up to that serial.
+func TestDocumentOfAnotherSerialIsRejected(t *testing.T) {
+	g := NewWithT(t)
+	var documents book.DocumentSet
+	for kind, body := range map[book.Kind]string{book.Hosts: `{"Serial":2}`, book.Databases: `{"Serial":2}`, book.Sheet: `{"Serial":2,"Rows":[]}`} {
+		_, accepted, err := documents.With(book.Doc{Kind: kind, Serial: 9, Body: []byte(body)})
+		g.Expect(accepted).To(BeFalse())
+		g.Expect(err).To(MatchError(ContainSubstring("got serial 9 of a body with serial 2")))
+		_, accepted, err = documents.With(book.Doc{Kind: kind, Serial: 2, Body: []byte(body)})
+		g.Expect(err).NotTo(HaveOccurred())
+		g.Expect(accepted).To(BeTrue())
+	}
+}
