Relay the arguments of an executed statement in the form that earlier releases read

What callers would see: while hosts are updated one after the other, an EXECUTE that a new host relays to an old one runs there without its arguments (rule UNASKED).

Cause: relayed the arguments in the text only. Earlier releases put the statement together from the parsed arguments, and frames carry no version.

Change: the parsed arguments are relayed, and the text is left out if there are any.

Evidence: TestRelayedExecuteKeepsItsArguments failed before (Value empty). It and TestLongStatementIsRelayed pass.

--- a/internal/flow/payload.go
+++ b/internal/flow/payload.go
@@ -12,12 +12,13 @@
 	Session stmt.Extract
 }
 
-// Payload returns the payload with which another proxy runs the statement. The arguments of an
-// Execute are only in its text, so that the payload is not much longer than the caller's message.
+// Payload returns the payload with which another proxy runs the statement. The text of an Execute
+// with arguments is left out, as it follows from them, so that the payload is not much longer than the
+// caller's message.
 func (x *Exchange) Payload() Payload {
 	q := x.query
-	if q.Statement.Kind == stmt.Execute {
-		q.Statement.Value = ""
+	if q.Statement.Kind == stmt.Execute && q.Statement.Value != "" {
+		q.Statement.Text = ""
 	}
 	return Payload{Query: q, Session: x.session.Extract(q.Statement)}
 }
