Take back the larger limit of relayed jobs

Change: the limit is 1 MiB and 64 KiB again. Long EXECUTEs are relayed all the same, as their arguments are sent once.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -71,9 +71,9 @@
 	Closing bool
 }
 
-// maxBytes limits the size of an encoded job or outcome. The longest message of a caller or a member
-// is 1 MiB. The state of the session is at most 2 MiB, and 64 KiB are for the other fields.
-const maxBytes = 3<<20 + 1<<16
+// maxBytes limits the size of an encoded job or outcome: the longest message of a caller
+// or a member is 1 MiB, and 64 KiB are for the other fields.
+const maxBytes = 1<<20 + 1<<16
 
 // encode returns the encoding of a job or an outcome. It returns a *peer.FrameError for one that
 // the other side would not accept.
