Test that prepared statements of other callers keep their text

What callers saw before, besides altered statements: a caller with a statement of one word lost acknowledged writes once another caller on the connection had prepared a text that begins with it, because both had one name at the member.

--- a/internal/labpf/prepared_test.go
+++ b/internal/labpf/prepared_test.go
@@ -68,3 +68,21 @@
 		}
 	}
 }
+
+// TestPreparedStatementsOfOtherCallersKeepTheirText guards against a caller whose acknowledged writes are
+// lost because another caller on the same connection prepared a statement whose text begins with that of
+// its own: at the member both had the same name.
+func TestPreparedStatementsOfOtherCallersKeepTheirText(t *testing.T) {
+	s := newSite(t, 1)
+	a, b := s.enter(0, labpf.Latest), s.enter(0, labpf.Latest)
+	s.does(a, "PREPARE s1 WRITE q2f")
+	s.does(a, "EXECUTE s1 3b1 first")
+	s.does(b, "PREPARE s1 WRITE q2f READ memmg")
+	s.does(b, "EXECUTE s1 3b1 second")
+	for i := range 3 {
+		value := fmt.Sprint("third", i)
+		s.does(a, "EXECUTE s1 3b1 "+value)
+		s.Expect(s.platform.Count(value)).To(Equal(1), "an acknowledged write is kept")
+		s.Expect(s.ran("3b1 " + value)).To(HaveExactElements(HaveField("Shape", "q2f")))
+	}
+}
