Stand-in of members: open the rows before it listens

What was seen: on a machine whose disk was slow, the proxies of a test started beside members that did not answer for one to four seconds. They were right to suspect the primary, and replaced it before the test's own fault. In TestRunningProxiesDecideAsTheirTracesTell this was counted as one promotion too many ("got 2, want 1"), or a test's first statement was told that its outcome is unknown (PU002).

Cause: the stand-in listened first and opened its rows then. Meanwhile the system accepts connections that nobody answers, and whoever waits for the listener takes the member for started.

Change: the rows are opened first.

Evidence: TestMemberListensOnceItsRowsAreOpen failed before: "bind: address already in use", want "file does not exist".

--- a/internal/labdb/labdb.go
+++ b/internal/labdb/labdb.go
@@ -62,13 +62,14 @@
 
 // New starts a member and returns it with its clean-up function.
 func New(options Options) (*Member, func(), error) {
-	listener, err := net.Listen("tcp", options.Address)
+	rows, closeEngine, err := newEngine()
 	if err != nil {
 		return nil, nil, err
 	}
-	rows, closeEngine, err := newEngine()
+	// From here on the system accepts connections, which the member has to answer.
+	listener, err := net.Listen("tcp", options.Address)
 	if err != nil {
-		_ = listener.Close()
+		closeEngine()
 		return nil, nil, err
 	}
 	role := group.Primary
