Tests of two more promotions that nobody needed

Found while tracing TestRunningProxiesDecideAsTheirTracesTell: a poll that was sent while an order to promote was under way, and answered before the order took effect, replaces the report of the promotion, and the next term is claimed.

--- a/internal/view/view_test.go
+++ b/internal/view/view_test.go
@@ -115,6 +115,25 @@
 	g.Expect(withReport(v, "unlisted", 20, primary(2, 99)).Term()).To(Equal(group.Term(1)))
 }
 
+// TestAnswerOfAnEarlierTermThatOvertakesIsIgnored guards against a second promotion: a poll that was
+// sent while the order to promote was under way, and answered before the order took effect, hides the
+// primary that the order's answer has shown.
+func TestAnswerOfAnEarlierTermThatOvertakesIsIgnored(t *testing.T) {
+	g := NewWithT(t)
+	before := replica(1, 10, 10)
+	promoted := view.Report{Member: "a", SentAt: at(10), ReceivedAt: at(14), State: primary(2, 11)}
+	v := withReport(view.New("d", members()), "a", 0, before).WithReport(promoted)
+	v = v.WithReport(view.Report{Member: "a", SentAt: at(12), ReceivedAt: at(15), State: fenced(before)})
+	g.Expect(v.Term()).To(Equal(group.Term(2)))
+	leader, found := v.Primary()
+	g.Expect(found).To(BeTrue())
+	g.Expect(leader.SentAt).To(Equal(at(10)))
+
+	restarted := v.WithReport(view.Report{Member: "a", SentAt: at(12), ReceivedAt: at(15), State: before, Interrupted: true})
+	g.Expect(restarted.Term()).To(Equal(group.Term(1)), "the member has restarted meanwhile")
+	g.Expect(withReport(v, "a", 14, before).Term()).To(Equal(group.Term(1)), "the query was sent after the earlier answer")
+}
+
 func TestWithMembersKeepsClosedMembersAndValidReports(t *testing.T) {
 	g := NewWithT(t)
 	list := []view.Member{{Name: "a", Address: "1", Draining: true}, {Name: "b", Address: "2"}}
