--- a/internal/book/load.go
+++ b/internal/book/load.go
@@ -78,8 +78,8 @@
 
 // Load validates a sheet and writes it to the store, unless another operator loads one
 // at the same time. It returns sheet.Errors for an invalid sheet, a *ConflictError if
-// another operator was first, a *store.SizeError for one that is too large, and an *OutcomeUnknownError if the store's answer was
-// lost and the outcome could not be read back.
+// another operator was first, a *store.SizeError for one that is too large, and an
+// *OutcomeUnknownError if the store's answer was lost and the outcome could not be read back.
 func Load(ctx context.Context, s store.Store, operator, csv string, now time.Time) (SheetDoc, error) {
 	if _, err := Check(csv); err != nil {
 		return SheetDoc{}, err
