Let a replica that was listed late confirm no earlier commit alone

Callers could see a write acknowledged that a failover then dropped.

Cause: after a replica was listed or restarted, all replicas have to hold a commit until an attempt that may not know of it is over. That time was counted from the acknowledgement alone.

Change: the time is also counted from the last such change.

Evidence: TestCommitOfAReplicaThatIsListedLateIsNotKept. Without the change: "Expected <view.Confirmation>: 1 to equal <view.Confirmation>: 0".

--- a/internal/view/retention.go
+++ b/internal/view/retention.go
@@ -138,7 +138,8 @@
 		return r
 	}
 	r = r.withHolders(v)
-	settling := v.changedSince(r.primary, r.times.Acknowledged.Add(-r.times.Settle)) && now.Before(r.times.Acknowledged.Add(r.times.Settle))
+	settling := v.changedSince(r.primary, r.times.Acknowledged.Add(-r.times.Settle)) &&
+		(now.Before(r.times.Acknowledged.Add(r.times.Settle)) || v.changedSince(r.primary, now.Add(-r.times.Settle)))
 	switch {
 	case v.Term() > r.floor.Term:
 		r.status = r.afterPromotion(v)
--- a/internal/view/retention_test.go
+++ b/internal/view/retention_test.go
@@ -137,3 +137,18 @@
 	v = v.WithReport(partialReport("c", group.Replica, now.Add(3*time.Second+ms(60)), 1, 11))
 	g.Expect(retained(v, acknowledged)).To(Equal(view.Confirmed))
 }
+
+// TestCommitOfAReplicaThatIsListedLateIsNotKept guards against a lost commit: a commit that has
+// waited for long is taken as kept once a replica is listed that the promoter does not know yet.
+func TestCommitOfAReplicaThatIsListedLateIsNotKept(t *testing.T) {
+	g := NewWithT(t)
+	v, now := settled()
+	acknowledged, listed := now.Add(ms(5)), now.Add(settle+ms(100))
+	v = v.WithReport(fullReport("b", group.Replica, acknowledged, 0, 10)).WithReport(fullReport("c", group.Replica, acknowledged, 0, 10)).
+		WithMembers([]view.Member{{Name: "a"}, {Name: "b"}, {Name: "c"}, {Name: "d"}})
+	v = v.WithReport(fullReport("d", group.Replica, listed, 0, 11))
+	times := view.RetentionTimes{Acknowledged: acknowledged, LeaseStart: acknowledged.Add(-time.Second), Settle: settle}
+	commit := view.NewRetention("a", group.Floor{Term: 1, Position: 11}, times)
+	g.Expect(commit.With(v, listed.Add(ms(10))).Status()).To(Equal(view.Pending))
+	g.Expect(commit.With(v, listed.Add(settle+ms(10))).Status()).To(Equal(view.Confirmed))
+}
