Send a statement only after the member has accepted the whole setup

Cause: RESET, SET and PREPARE went out in one pipeline with the caller's statement, and their replies were looked at only when all had arrived. A member that refuses one of them runs what follows it. The pipeline's setup was also recorded for the connection before its replies were read.

Change: what sets a connection up is sent first, and the statement only after every reply has arrived and accepts. The BEGIN of a transaction goes out with its setup, which holds for the prepared statement of its first EXECUTE too, so that transactions take no further round trip. What a refused command changed is known if it did not run: the connection is used again with the setup that it then has, and closed otherwise. The request has not run, and its caller is told so; a transaction is rolled back. A connection that ends during the setup is no unknown outcome either. A single read whose proof of leadership the member did not end left its caller in that transaction; its connection is now closed.

--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -21,6 +21,9 @@
 	Member
 	number uint32
 	setup  stmt.Setup
+	// unusable is set once it is not known what state the connection is in, or once a
+	// transaction remains open on it that is none of a caller.
+	unusable bool
 	// waitingSince is the time, in Unix nanoseconds, at which the request in flight was
 	// sent, or 0 if there is none.
 	waitingSince atomic.Int64
@@ -35,6 +38,9 @@
 // NewMemberConn wraps a connection on which no session state is set up.
 func NewMemberConn(m Member) *MemberConn { return &MemberConn{Member: m, number: lastNumber.Add(1)} }
 
+// dirty reports whether the connection must be closed after use.
+func (c *MemberConn) dirty() bool { return c.unusable || c.setup.Bytes() > maxSetupBytes }
+
 // ID implements member.Line.
 func (c *MemberConn) ID() uint32 { return c.number }
 
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -75,6 +75,9 @@
 	Unauthorized
 )
 
+// notRun reports whether a refused statement certainly did not run.
+func (r Refusal) notRun() bool { return r <= NotPrepared }
+
 // Known reports whether the refusal is one of this release. Another host may send a different one.
 func (r Refusal) Known() bool { return r <= Unauthorized }
 
--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -1,6 +1,8 @@
 package flow
 
 import (
+	"slices"
+
 	"poplarrouter.example/poplarrouter/internal/budget"
 	"poplarrouter.example/poplarrouter/internal/chain"
 	"poplarrouter.example/poplarrouter/internal/member"
@@ -80,43 +82,45 @@
 // Drop implements chain.Exchange. No part of a reply is sent before the run ends.
 func (*Exchange) Drop() {}
 
-// pipeline is a sequence of queries that are sent to a member together, in this order:
-// those that set the connection up, the one that opens the transaction, the statement, and
-// the one that ends a transaction which was opened only for the statement.
+// setUp sends the statements that the connection lacks before the exchange's statement, followed
+// by the queries of a transaction that is opened, and returns the replies to these queries. It
+// returns the refusal instead if the member refused one of the statements.
 //
-// A member that refuses to open a transaction still runs the following queries, outside a
-// transaction. Therefore the first statement of a caller's transaction is sent only once
-// the transaction is open. A single read for which the member must prove that it is the
-// primary may follow in the same pipeline: if the member is not, the reply is discarded.
-type pipeline struct {
-	queries []Query
-	// leadProbe, open and main are the indexes of the query that only a primary accepts,
-	// of the one that opens the transaction and of the caller's statement, or -1.
-	// then is the connection's setup after the pipeline.
-	leadProbe int
-	open      int
-	main      int
-	then      stmt.Setup
-}
-
-// first returns the index of the first query that does not set the connection up.
-func (p *pipeline) first() int {
-	for _, index := range []int{p.leadProbe, p.open, p.main} {
-		if index >= 0 {
-			return index
+// A member runs what follows a statement that it refused. Therefore a caller's statement is sent
+// only after the replies to all of these have arrived. The connection's setup takes over those that
+// the member ran.
+func (x *Exchange) setUp(conn *MemberConn, opening ...Query) (replies []Reply, refused Reply, err error) {
+	var before []stmt.Statement
+	if x.session.Phase != stmt.Failed {
+		before, _, _ = conn.setup.Missing(x.session, x.query.Statement)
+	}
+	if len(before)+len(opening) == 0 {
+		return nil, Reply{}, nil
+	}
+	queries := make([]Query, 0, len(before)+len(opening))
+	for _, b := range before {
+		queries = append(queries, Query{Statement: b})
+	}
+	replies, err = conn.exchange(append(queries, opening...))
+	if err != nil {
+		if !isUnsent(err) {
+			err = fault.Wrap(err, fault.Unreachable, "set up connection", "the member's connection ended before the statement was sent")
 		}
+		return nil, Reply{}, err
 	}
-	return 0
-}
-
-func (p *pipeline) add(q Query) int {
-	p.queries = append(p.queries, q)
-	return len(p.queries) - 1
+	for i, b := range before {
+		if r := replies[i]; r.Refusal != Accepted {
+			refused = r
+			conn.unusable = conn.unusable || !r.Refusal.notRun()
+			continue
+		}
+		conn.setup = conn.setup.With(b)
+	}
+	return replies[len(before):], refused, nil
 }
 
-// opening returns the pipeline that opens the caller's transaction at a member.
-func (x *Exchange) opening(setup stmt.Setup, o chain.RunOptions) pipeline {
-	p, _ := x.connectionSetup(setup, x.session.Start)
+// opening returns the queries that open the caller's transaction at a member.
+func (x *Exchange) opening(o chain.RunOptions) []Query {
 	q := Query{ID: x.query.ID, Statement: x.session.Start}
 	switch {
 	case o.Write:
@@ -124,58 +128,30 @@
 		// A replica also opens a transaction that only reads. Therefore a transaction that
 		// may write is opened first, which only a primary accepts: the transaction after it
 		// sees every write that was acknowledged before it.
-		p.leadProbe = p.add(probe[0])
-		p.add(probe[1])
+		return append(slices.Clone(probe), q)
 	default:
 		q.Floor = o.Floor
 	}
-	p.open = p.add(q)
-	return p
+	return []Query{q}
 }
 
-// statement returns the pipeline that runs the caller's statement at a member.
-func (x *Exchange) statement(setup stmt.Setup, o chain.RunOptions) pipeline {
-	p, prepared := x.connectionSetup(setup, x.query.Statement)
-	main := x.query
-	main.Prepared = prepared
+// statement returns the queries that run the caller's statement on a connection that is set up
+// for it, and the index of the statement.
+//
+// A single read for which the member must prove that it is the primary is enclosed in a
+// transaction that only a primary opens. All three queries are sent together: if the member is
+// not the primary, the reply to the read is discarded.
+func (x *Exchange) statement(setup stmt.Setup, o chain.RunOptions) (queries []Query, main int) {
+	q := x.query
+	_, q.Prepared, _ = setup.Missing(x.session, q.Statement)
 	reads := x.session.Phase == stmt.Idle && !o.Write
 	if reads && o.ProveLeadership {
-		p.open = p.add(probe[0])
-	} else if reads {
-		main.Floor = o.Floor
-	}
-	p.main = p.add(main)
-	if p.open >= 0 {
-		p.add(probe[1])
+		return []Query{probe[0], q, probe[1]}, 1
 	}
-	return p
-}
-
-// connectionSetup returns the pipeline that sets a connection up for a statement, and the
-// name under which the executed statement is then prepared on the connection.
-func (x *Exchange) connectionSetup(setup stmt.Setup, st stmt.Statement) (p pipeline, prepared string) {
-	before, prepared, then := setup.Missing(x.session, st)
-	p = pipeline{leadProbe: -1, open: -1, main: -1, then: then}
-	for _, b := range before {
-		p.add(Query{Statement: b})
-	}
-	return p, prepared
-}
-
-// send sends the pipeline and returns the replies. It fails if the connection could not be
-// set up.
-func (p pipeline) send(conn *MemberConn) ([]Reply, error) {
-	replies, err := conn.exchange(p.queries)
-	if err != nil {
-		return nil, err
-	}
-	conn.setup = p.then
-	for _, r := range replies[:p.first()] {
-		if r.Refusal != Accepted {
-			return nil, fault.New(fault.Severed, "set up connection", "the member refused a setting or a prepared statement of the session: %s", r.Text)
-		}
+	if reads {
+		q.Floor = o.Floor
 	}
-	return replies, nil
+	return []Query{q}, 0
 }
 
 // maxSetupBytes is the size of the session state on a connection to a member above which the
@@ -205,55 +181,52 @@
 	}
 	conn := l.(*MemberConn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
 	opens := x.opens()
+	var opening []Query
 	if opens {
-		refusal, phase, err := x.open(conn, o)
-		if err != nil {
-			return chain.Answer{Unsent: isUnsent(err)}, err
-		}
-		if refusal.Refusal != Accepted {
-			return x.rejected(conn, refusal, phase)
+		opening = x.opening(o)
+	}
+	opened, refused, err := x.setUp(conn, opening...)
+	if err != nil {
+		return chain.Answer{Unsent: true}, err
+	}
+	if refused.Refusal != Accepted {
+		return x.setupRejected(conn, refused, opened)
+	}
+	for _, r := range opened {
+		if r.Refusal != Accepted {
+			return x.rejected(conn, r, opened[len(opened)-1].Phase)
 		}
 	}
-	p := x.statement(conn.setup, o)
-	replies, err := p.send(conn)
+	if opens {
+		x.session.Phase = stmt.Open
+	}
+	queries, index := x.statement(conn.setup, o)
+	replies, err := conn.exchange(queries)
 	if err != nil {
 		return chain.Answer{Unsent: isUnsent(err)}, err
 	}
-	main, last := replies[p.main], replies[len(replies)-1]
-	if p.open >= 0 && replies[p.open].Refusal != Accepted {
-		return x.rejected(conn, replies[p.open], last.Phase)
+	main, phase := replies[index], replies[len(replies)-1].Phase
+	if index > 0 && replies[0].Refusal != Accepted {
+		return x.rejected(conn, replies[0], phase)
 	}
 	if main.Refusal != Accepted && x.session.Phase == stmt.Idle && retriable(main.Refusal) {
-		return x.rejected(conn, main, last.Phase)
+		return x.rejected(conn, main, phase)
+	}
+	if x.session.Phase == stmt.Idle && phase != stmt.Idle {
+		// The member refused to end the transaction that enclosed the statement.
+		conn.unusable, phase = true, stmt.Idle
 	}
 	x.memory.Keep(main.Bytes())
-	x.reply, x.reply.Phase, x.session.Phase = main, last.Phase, last.Phase
-	answer := chain.Answer{Idle: last.Phase == stmt.Idle, Whole: true, MemberPosition: last.Position, Dirty: conn.setup.Bytes() > maxSetupBytes}
+	x.reply, x.reply.Phase, x.session.Phase = main, phase, phase
+	position := replies[len(replies)-1].Position
+	answer := chain.Answer{Idle: phase == stmt.Idle, Whole: true, MemberPosition: position, Dirty: conn.dirty()}
 	if main.Refusal == Accepted {
 		answer.UnderLease = o.ProveLeadership || (opens && o.Write)
-		x.addMemberState(&answer, o, last.Position)
+		x.addMemberState(&answer, o, position)
 	}
 	return answer, nil
 }
 
-// open opens the caller's transaction. It returns the reply that accepts or refuses the
-// transaction, and the phase after it.
-func (x *Exchange) open(conn *MemberConn, o chain.RunOptions) (Reply, stmt.Phase, error) {
-	p := x.opening(conn.setup, o)
-	replies, err := p.send(conn)
-	if err != nil {
-		return Reply{}, stmt.Idle, err
-	}
-	opened := replies[p.open]
-	if p.leadProbe >= 0 && replies[p.leadProbe].Refusal != Accepted {
-		return replies[p.leadProbe], opened.Phase, nil
-	}
-	if opened.Refusal == Accepted {
-		x.session.Phase = stmt.Open
-	}
-	return opened, opened.Phase, nil
-}
-
 // addMemberState adds the member state that the reply implies to the answer of a statement
 // that ran.
 func (x *Exchange) addMemberState(answer *chain.Answer, o chain.RunOptions, at group.Floor) {
@@ -276,14 +249,37 @@
 // or later on the same one.
 func retriable(r Refusal) bool { return r == NotPrimary || r == Behind || r == Busy }
 
-// rejected returns the answer for a request that a member refused before any of it ran. It
-// rolls back a transaction that is nevertheless open.
-func (x *Exchange) rejected(conn *MemberConn, r Reply, phase stmt.Phase) (chain.Answer, error) {
-	answer := chain.Answer{Idle: true, Whole: true}
+// setupRejected returns the answer for a request that did not run because the member refused a
+// statement that sets the connection up. The transaction that was to be opened, if there is one, or
+// the caller's open one, is rolled back.
+func (x *Exchange) setupRejected(conn *MemberConn, r Reply, opened []Reply) (chain.Answer, error) {
+	phase := x.session.Phase
+	if len(opened) > 0 {
+		phase = opened[len(opened)-1].Phase
+	}
+	answer := endedAnswer(conn, phase)
+	kind := fault.Overloaded
+	if r.Refusal == Malformed {
+		kind = fault.Protocol
+	}
+	answer.Rejection = fault.New(kind, "set up connection", "the member refused a setting or a prepared statement of the session: %s", r.Text)
+	return answer, nil
+}
+
+// endedAnswer returns the answer for a request that did not run, after it has rolled back the
+// transaction that is open on the connection, if there is one.
+func endedAnswer(conn *MemberConn, phase stmt.Phase) chain.Answer {
 	if phase != stmt.Idle {
 		replies, err := conn.exchange([]Query{{Statement: stmt.Statement{Kind: stmt.Rollback}}})
-		answer.Dirty = err != nil || replies[0].Phase != stmt.Idle
+		conn.unusable = conn.unusable || err != nil || replies[0].Phase != stmt.Idle
 	}
+	return chain.Answer{Idle: true, Whole: true, Dirty: conn.dirty()}
+}
+
+// rejected returns the answer for a request that a member refused before any of it ran. It
+// rolls back a transaction that is nevertheless open.
+func (x *Exchange) rejected(conn *MemberConn, r Reply, phase stmt.Phase) (chain.Answer, error) {
+	answer := endedAnswer(conn, phase)
 	switch r.Refusal {
 	case NotPrimary:
 		answer.NotPrimary = true
--- a/internal/labpf/group.go
+++ b/internal/labpf/group.go
@@ -22,6 +22,8 @@
 	// lateOrders is how many orders get no answer and are carried out after late.
 	lateOrders int
 	late       time.Duration
+	// refuse, unless it is nil, tells whether a statement that sets a connection up is refused.
+	refuse func(text string) bool
 	// promotions counts the changes of the primary, and lost the acknowledged entries
 	// that a promoted member did not hold.
 	promotions   int
@@ -110,6 +112,20 @@
 	}
 }
 
+// RefuseSetups makes all members refuse the statements that set a connection up for which refuse
+// returns true. It is called by one goroutine at a time; nil ends this.
+func (g *Group) RefuseSetups(refuse func(text string) bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.refuse = refuse
+}
+
+func (g *Group) refuses(text string) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.refuse != nil && g.refuse(text)
+}
+
 // LoseOrders makes the next orders for promotions get no answer and be carried out late.
 func (g *Group) LoseOrders(count int, late time.Duration) {
 	g.mu.Lock()
--- a/internal/labpf/member.go
+++ b/internal/labpf/member.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -240,6 +241,9 @@
 
 func (s *session) setUp(word, rest string) (string, bool) {
 	name, value, _ := strings.Cut(rest, " ")
+	if slices.Contains([]string{"RESET", "SET", "PREPARE"}, word) && s.group.refuses(word+" "+rest) {
+		return refused("BUSY"), true
+	}
 	switch word {
 	case "RESET":
 		s.reset()
--- a/internal/stmt/stmt.go
+++ b/internal/stmt/stmt.go
@@ -190,19 +190,18 @@
 // Execute refers to, and the setup of the connection after these statements.
 func (c Setup) Missing(s Session, st Statement) (before []Statement, name string, after Setup) {
 	after = c
+	require := func(b Statement) {
+		before = append(before, b)
+		after = after.With(b)
+	}
 	if !subset(c.values, s.values) {
 		// A single value cannot be unset, so that all have to be reset.
-		before = append(before, Statement{Kind: Reset})
-		after = Setup{named: c.named}
+		require(Statement{Kind: Reset})
 	}
 	for name, value := range s.values {
-		if current, found := after.values[name]; found && current == value {
-			continue
+		if current, found := after.values[name]; !found || current != value {
+			require(Statement{Kind: Set, Name: name, Value: value})
 		}
-		before = append(before, Statement{Kind: Set, Name: name, Value: value})
-		after.values = with(after.values, name, value)
-		// The size of the earlier value remains counted until the connection is reset.
-		after.bytes += len(name) + len(value) + entryBytes
 	}
 	if st.Kind != Execute {
 		return before, "", after
@@ -210,18 +209,34 @@
 	shape := s.prepared[st.Name]
 	name, found := after.prepared[shape]
 	if !found {
-		after.named++
-		name = "s" + strconv.Itoa(after.named)
-		before = append(before, Statement{Kind: Prepare, Name: name, Shape: shape})
-		prepared := make(map[Shape]string, len(after.prepared)+1)
-		maps.Copy(prepared, after.prepared)
-		prepared[shape] = name
-		after.prepared = prepared
-		after.bytes += len(shape.Text) + entryBytes
+		name = "s" + strconv.Itoa(after.named+1)
+		require(Statement{Kind: Prepare, Name: name, Shape: shape})
 	}
 	return before, name, after
 }
 
+// With returns the setup of the connection after one of the statements that Missing returned
+// has run there.
+func (c Setup) With(st Statement) Setup {
+	switch st.Kind {
+	case Reset:
+		return Setup{named: c.named}
+	case Set:
+		c.values = with(c.values, st.Name, st.Value)
+		// The size of the earlier value remains counted until the connection is reset.
+		c.bytes += len(st.Name) + len(st.Value) + entryBytes
+	case Prepare:
+		prepared := make(map[Shape]string, len(c.prepared)+1)
+		maps.Copy(prepared, c.prepared)
+		prepared[st.Shape] = st.Name
+		c.prepared = prepared
+		c.named++
+		c.bytes += len(st.Shape.Text) + entryBytes
+	default:
+	}
+	return c
+}
+
 // subset reports whether every name in a is also in b, so that setting the values of b
 // makes a equal to b.
 func subset(a, b map[string]string) bool {
