Close a connection on which a probe's transaction remains open

Callers' statements could run inside a transaction that a probe had opened.

Cause: a probe opens and ends a transaction on a pooled connection. The reply to its ROLLBACK was not looked at, and the connection went back to the pool.

Change: the connection is closed unless the member reports that no transaction is open on it.

Evidence: TestProbeThatDoesNotEndClosesItsConnection, red before: one idle connection, want none.

--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -81,12 +81,14 @@
 	if err != nil {
 		return group.State{}, err
 	}
-	role, at := group.Primary, replies[0].Position
-	if replies[0].Refusal != Accepted {
+	opened, ended := replies[0], replies[1]
+	c.unusable = c.unusable || ended.Phase != stmt.Idle
+	role, at := group.Primary, opened.Position
+	if opened.Refusal != Accepted {
 		role = group.Replica
 	}
 	if at.IsZero() {
-		at = replies[1].Position
+		at = ended.Position
 	}
 	return stateOf(role, at), nil
 }
--- a/internal/flow/control.go
+++ b/internal/flow/control.go
@@ -143,13 +143,13 @@
 	}
 	if errors.As(err, &denied) {
 		// The member has no free slot for the state request.
-		pool.Put(conn, line.SetDeadline(time.Time{}) == nil)
+		pool.Put(conn, line.SetDeadline(time.Time{}) == nil && !line.dirty())
 		return state, &member.BusyError{Member: c.options.Member.Name}
 	}
 	if err == nil {
 		err = line.SetDeadline(time.Time{})
 	}
-	pool.Put(conn, err == nil)
+	pool.Put(conn, err == nil && !line.dirty())
 	if err != nil {
 		pool.Invalidate()
 	}
