Take a refused probe for a replica's only if the member says that it is one

A primary that refuses the BEGIN of a probe, because it fails a part of its requests, was taken for a replica: its callers waited for another primary, and it could have been replaced.

Cause: Probe took any refusal for that of a replica.

Change: another refusal counts as the answer of a member that has no capacity for the query, which keeps its last report. A ping that is refused in this way was answered.

Evidence: TestPrimaryThatRefusesAProbeIsBusy, red before: no error.

--- a/internal/flow/conn.go
+++ b/internal/flow/conn.go
@@ -68,6 +68,10 @@
 // Ping implements member.Line.
 func (c *MemberConn) Ping() error {
 	_, err := c.Probe()
+	var denied *DeniedError
+	if errors.As(err, &denied) && !c.unusable {
+		return nil
+	}
 	return err
 }
 
@@ -83,10 +87,15 @@
 	}
 	opened, ended := replies[0], replies[1]
 	c.unusable = c.unusable || ended.Phase != stmt.Idle
-	role, at := group.Primary, opened.Position
-	if opened.Refusal != Accepted {
+	role := group.Primary
+	switch opened.Refusal {
+	case Accepted:
+	case NotPrimary:
 		role = group.Replica
+	default:
+		return group.State{}, &DeniedError{Refusal: opened.Refusal, Text: opened.Text}
 	}
+	at := opened.Position
 	if at.IsZero() {
 		at = ended.Position
 	}
--- a/internal/flow/control_test.go
+++ b/internal/flow/control_test.go
@@ -69,3 +69,13 @@
 	g.Expect(state.Role).To(Equal(group.Primary))
 	g.Expect(idle).To(BeZero())
 }
+
+// TestPrimaryThatRefusesAProbeIsBusy guards against a primary that is taken for a replica because it
+// refuses the BEGIN of a probe for another reason than its role.
+func TestPrimaryThatRefusesAProbeIsBusy(t *testing.T) {
+	g := NewWithT(t)
+	_, idle, err := probed(t, stmt.Begin)
+	var busy *member.BusyError
+	g.Expect(err).To(BeAssignableToTypeOf(busy))
+	g.Expect(idle).To(Equal(1))
+}
