--- a/internal/flow/run.go
+++ b/internal/flow/run.go
@@ -174,15 +174,11 @@
 	return nil
 }
 
-// Run implements chain.Exchange.
-func (x *Exchange) Run(l member.ProtocolConn, o chain.RunOptions) (chain.Answer, error) {
-	if err := x.check(); err != nil {
-		return chain.Answer{Unsent: true}, err
-	}
-	conn := l.(*MemberConn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
-	opens := x.opens()
+// prepare sets the connection up for the statement, and opens the caller's transaction if the
+// statement is its first. The answer has a rejection if the member refused any of this.
+func (x *Exchange) prepare(conn *MemberConn, o chain.RunOptions) (chain.Answer, error) {
 	var opening []Query
-	if opens {
+	if x.opens() {
 		opening = x.opening(o)
 	}
 	opened, refused, err := x.setUp(conn, opening...)
@@ -197,9 +193,22 @@
 			return x.rejected(conn, r, opened[len(opened)-1].Phase)
 		}
 	}
-	if opens {
+	if x.opens() {
 		x.session.Phase = stmt.Open
 	}
+	return chain.Answer{}, nil
+}
+
+// Run implements chain.Exchange.
+func (x *Exchange) Run(l member.ProtocolConn, o chain.RunOptions) (chain.Answer, error) {
+	if err := x.check(); err != nil {
+		return chain.Answer{Unsent: true}, err
+	}
+	conn := l.(*MemberConn) //nolint:forcetypeassert,errcheck // the pools of this protocol open no others
+	opens := x.opens()
+	if answer, err := x.prepare(conn, o); err != nil || answer.Rejection != nil {
+		return answer, err
+	}
 	queries, index := x.statement(conn.setup, o)
 	replies, err := conn.exchange(queries)
 	if err != nil {
--- a/internal/flow/setup_test.go
+++ b/internal/flow/setup_test.go
@@ -307,17 +307,33 @@
 	})
 }
 
+// check checks a statement that ran, inside a transaction of the session or not.
+func (s *greySession) check(t *rapid.T, r greyRun, statement stmt.Statement, in, proves bool) {
+	if !maps.Equal(r.values, s.values) || statement.Kind == stmt.Execute && r.shape != s.shapes[statement.Name] {
+		t.Fatalf("%s ran with %v and %+v, want %v and %+v", r.id, r.values, r.shape, s.values, s.shapes[statement.Name])
+	}
+	if in && (r.phase != stmt.Open || r.owner != s.began) || !in && !proves && r.phase != stmt.Idle {
+		t.Fatalf("%s ran in phase %d of transaction %q, its own is %q", r.id, r.phase, r.owner, s.began)
+	}
+}
+
+// take returns the connection of the session's transaction, an idle one or a new one, and the
+// connections that are idle then.
+func (s *greySession) take(t *rapid.T, idle []*greyConn, refusals []flow.Refusal) (conn *greyConn, rest []*greyConn) {
+	if s.conn != nil {
+		return s.conn, idle
+	}
+	if n := len(idle); n > 0 {
+		return idle[n-1], idle[:n-1]
+	}
+	d := newGreyDatabase(func(flow.Query) flow.Refusal { return rapid.SampledFrom(refusals).Draw(t, "refusal") })
+	return &greyConn{flow.NewMemberConn(d), d}, idle
+}
+
 // run runs a statement on the session's connection or an idle one, checks what ran, and returns the
 // idle connections after it.
 func (s *greySession) run(t *rapid.T, id string, statement stmt.Statement, idle []*greyConn, refusals []flow.Refusal) []*greyConn {
-	conn := s.conn
-	if conn == nil && len(idle) > 0 {
-		conn, idle = idle[len(idle)-1], idle[:len(idle)-1]
-	}
-	if conn == nil {
-		d := newGreyDatabase(func(flow.Query) flow.Refusal { return rapid.SampledFrom(refusals).Draw(t, "refusal") })
-		conn = &greyConn{flow.NewMemberConn(d), d}
-	}
+	conn, idle := s.take(t, idle, refusals)
 	if s.Phase == stmt.Pending {
 		s.began = id
 	}
@@ -333,12 +349,7 @@
 		t.Fatalf("%s was rejected and ran: %+v", id, d.ran)
 	}
 	for _, r := range d.ran {
-		if !maps.Equal(r.values, s.values) || statement.Kind == stmt.Execute && r.shape != s.shapes[statement.Name] {
-			t.Fatalf("%s ran with %v and %+v, want %v and %+v", id, r.values, r.shape, s.values, s.shapes[statement.Name])
-		}
-		if in && (r.phase != stmt.Open || r.owner != s.began) || !in && !proves && r.phase != stmt.Idle {
-			t.Fatalf("%s ran in phase %d of transaction %q, its own is %q", id, r.phase, r.owner, s.began)
-		}
+		s.check(t, r, statement, in, proves)
 	}
 	s.Session = x.Session()
 	if answer.Rejection != nil {
