Ignore an answer of an earlier term that overtakes a member's later one

A second promotion could follow the first one at once: callers waited for another primary.

Cause: a poll that was sent while an order to promote was under way, and answered before the order took effect, replaced the report of the promotion.

Change: the view ignores an answer of an earlier term to a query that was sent before the stored report arrived, unless the member has restarted.

--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -56,6 +56,12 @@
 	Interrupted bool `json:",omitempty" msgpack:",omitempty"`
 }
 
+// overtakenBy reports whether a member gave the answer before the one of the stored report,
+// although its query was sent later. The term of a member does not decrease unless it restarts.
+func (r Report) overtakenBy(stored Report) bool {
+	return r.State.Term < stored.State.Term && r.SentAt.Before(stored.ReceivedAt) && !r.Interrupted
+}
+
 // Busy is an answer of a member that had no capacity for a state query. It shows that the
 // member is running, but not its state.
 type Busy struct {
@@ -227,13 +233,14 @@
 }
 
 // WithReport returns the view after an answer. An answer to a query that is not newer
-// than the stored report changes nothing.
+// than the stored report changes nothing, nor does an answer of an earlier term to a query
+// that was sent before the stored report arrived: the member gave it first.
 func (v View) WithReport(r Report) View {
 	if _, known := v.Member(r.Member); !known {
 		return v
 	}
 	old, found := v.reports[r.Member]
-	if found && !r.SentAt.After(old.SentAt) {
+	if found && (!r.SentAt.After(old.SentAt) || r.overtakenBy(old)) {
 		return v
 	}
 	if !found || r.Interrupted || v.silent[r.Member] || v.relisted[r.Member] {
