Give the primary of a newly reported term the full time to answer

A primary in service was replaced although it answered: callers waited for another one.

Cause: a machine that had run for longer than SuspectAfter suspected the primary at once if a replica was the first to report a term.

Change: the time counts from the first report of the term.

--- a/internal/elect/machine.go
+++ b/internal/elect/machine.go
@@ -58,19 +58,22 @@
 	candidate        string
 	rivalFence       group.Term
 	repairedAt       time.Time
-	startedAt        time.Time
+	// reportedTerm is the highest term that any member has reported, and termSince is when one
+	// did so first, or when the machine started.
+	reportedTerm group.Term
+	termSince    time.Time
 }
 
 // New returns the machine of a voter. The voters, which include self, are listed in the
-// order in which they may claim a term of the database. A new machine gives the primary
-// the full SuspectAfter period to answer.
+// order in which they may claim a term of the database. The primary of a term that is new to
+// the machine has the full SuspectAfter period to answer.
 func New(rules Rules, self string, voters []string, now time.Time) Machine {
 	return Machine{
 		rules:     rules,
 		self:      self,
 		voters:    slices.Clone(voters),
 		index:     slices.Index(voters, self),
-		startedAt: now,
+		termSince: now,
 	}
 }
 
@@ -116,7 +119,7 @@
 	if m.index < 0 && m.target == "" {
 		return m.reset(), nil
 	}
-	m = m.idleAfterRivalFence(now, v).recordReplicaLog(now, v)
+	m = m.idleAfterRivalFence(now, v).recordReplicaLog(now, v).recordTerm(now, v)
 	if e.Rival != nil {
 		return m.yieldTo(now, *e.Rival)
 	}
@@ -221,7 +224,7 @@
 	if r, found := v.Primary(); found {
 		return unresponsiveFor(v, r, now) >= m.rules.suspectAfter(v, r.Member)
 	}
-	return now.Sub(m.startedAt) >= m.rules.SuspectAfter && !v.UnreportedBusySince(now.Add(-m.rules.SuspectAfter))
+	return now.Sub(m.termSince) >= m.rules.SuspectAfter && !v.UnreportedBusySince(now.Add(-m.rules.SuspectAfter))
 }
 
 func (m Machine) watch(now time.Time, v view.View) (Machine, []Action) {
@@ -294,6 +297,15 @@
 	return down >= group.Majority(len(m.responding))
 }
 
+// recordTerm records since when the latest term is known. A replica may report it before its
+// primary does.
+func (m Machine) recordTerm(now time.Time, v view.View) Machine {
+	if term := v.Term(); term > m.reportedTerm {
+		m.reportedTerm, m.termSince = term, now
+	}
+	return m
+}
+
 // recordReplicaLog records when a replica last received an entry.
 func (m Machine) recordReplicaLog(now time.Time, v view.View) Machine {
 	for _, member := range v.Members() {
