Determine the isolation before the view that it concerns

A commit that waited at an isolated proxy could be confirmed by the view with the older list, in the moment between the arrival of the newer one and the next look at the view. Found by reading; no test shows this window of a few instructions.

Cause: the view was read first, and the serial of its list afterwards.

Change: the other way round. The serial is stored after the view that has the list, so that the view that is read is at least as new.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -235,8 +235,8 @@
 // ends first. The members whose state decides it are polled meanwhile.
 func (c *Controller) AwaitRetention(ctx context.Context, primary string, f group.Floor, acknowledged, leaseStart time.Time) view.Confirmation {
 	r := view.NewRetention(primary, f, c.retentionTimes(acknowledged, leaseStart))
-	v, changed := c.current.Watch()
-	if r = c.withView(r, v); r.Status() != view.Pending {
+	v, changed := c.watchRetention()
+	if r = r.With(v, time.Now()); r.Status() != view.Pending {
 		return r.Status()
 	}
 	c.commits.Add(1)
@@ -254,15 +254,19 @@
 		case <-ctx.Done():
 			return view.Pending
 		}
-		v, changed = c.current.Watch()
-		r = c.withView(r, v)
+		v, changed = c.watchRetention()
+		r = r.With(v, time.Now())
 	}
 	return r.Status()
 }
 
-func (c *Controller) withView(r view.Retention, v view.View) view.Retention {
-	now := time.Now()
-	return r.With(v.WithIsolation(c.isolated(now)), now)
+// watchRetention returns the view with whether this proxy is isolated, and a channel that closes
+// when the view changes. It determines the isolation first, so that the view is not older than the
+// list of members of which it is a matter.
+func (c *Controller) watchRetention() (view.View, <-chan struct{}) {
+	isolated := c.isolated(time.Now())
+	v, changed := c.current.Watch()
+	return v.WithIsolation(isolated), changed
 }
 
 // isolated reports whether this proxy may lack a newer list of members, on which a majority of
@@ -358,6 +362,7 @@
 		}
 	case in.Members != nil:
 		c.startPollers(in.Members)
+		// The serial is set after the view that has the list.
 		defer c.listSerial.Store(in.ListSerial)
 	case in.Event.Rival != nil:
 	default:
