Let the store's answer show that a list of members is the newest

Writes were not confirmed by any proxy after most hosts had ended, if a member had crashed too.

Cause: a proxy relied on its list only if a majority of the voters showed that they have no newer one. Seven of nine voters had ended, so that every replica had to hold a commit, also the crashed primary.

Change: an answer of the store to the watch of the list, at most three quarters of the removal delay old, shows it too.

--- a/internal/ctrl/controller.go
+++ b/internal/ctrl/controller.go
@@ -50,8 +50,13 @@
 	Voters      Voters
 	// VoterTimeout is how long a voter's message shows which list of members the voter has.
 	VoterTimeout time.Duration
-	Store        store.Store
-	Dial         Dialer
+	// StoreList returns the serial of the newest list of databases and members according to the
+	// store's last answer to this proxy, and when that arrived. StoreListTimeout is how long it
+	// shows that there is no newer list. StoreList may be nil.
+	StoreList        func() (serial uint64, at time.Time)
+	StoreListTimeout time.Duration
+	Store            store.Store
+	Dial             Dialer
 	// FenceBelow ensures that no promotion order for a database with a token lower than
 	// the given one is executed any more. It is nil where members themselves refuse such
 	// orders.
@@ -270,14 +275,20 @@
 }
 
 // isolated reports whether this proxy may lack a newer list of members, on which a majority of
-// the voters may promote one. It does not if a majority has shown of late that it has no newer
-// list: one voter belongs to both majorities, and a promoter removes a member only long after
-// its list has reached the voters.
+// the voters may promote one. It does not if the store or a majority has shown of late that there
+// is no newer list: one voter belongs to both majorities, and a promoter removes a member only
+// long after its list has reached the voters.
 func (c *Controller) isolated(now time.Time) bool {
+	listed := c.listSerial.Load()
+	if c.options.StoreList != nil {
+		if serial, at := c.options.StoreList(); serial <= listed && now.Sub(at) < c.options.StoreListTimeout {
+			return false
+		}
+	}
 	voters, current := c.voters.Load(), 0
 	for _, host := range voters {
 		serial, at := c.options.Voters.MemberList(host)
-		if host == c.options.Host || serial <= c.listSerial.Load() && now.Sub(at) < c.options.VoterTimeout {
+		if host == c.options.Host || serial <= listed && now.Sub(at) < c.options.VoterTimeout {
 			current++
 		}
 	}
--- a/internal/ctrl/controllers.go
+++ b/internal/ctrl/controllers.go
@@ -116,6 +116,9 @@
 func NewControllers(options ControllersOptions) (*Controllers, func()) {
 	c := &Controllers{options: options, watched: duty.NewCell[[]Watched](nil), controllers: make(map[string]*entry), pools: make(map[poolKey]ownedPool), nonOwned: make(map[string]time.Time), retained: duty.NewRing[retainedMembers](retainedQueue)}
 	c.options.Controller.OnReplaced = c.closeReplaced
+	c.options.Controller.StoreList = options.Documents.MemberList
+	// Another proxy that sees a change at once removes a member no sooner than RemovalDelay.
+	c.options.Controller.StoreListTimeout = options.RemovalDelay * 3 / 4
 	c.roster = roster.New(options.RemovalDelay)
 	c.settling = newSettling(options.Controller.Host, options.SettleDelay)
 	stop := duty.Run(c.run)
--- a/internal/ctrl/documents.go
+++ b/internal/ctrl/documents.go
@@ -59,6 +59,15 @@
 	storeAnswered atomic.Pointer[time.Time]
 	// sheetRead is the last answer of the store to the watch of the sheet.
 	sheetRead *duty.Cell[SheetRead]
+	// listRead is the last answer of the store to the watch of the list of databases.
+	listRead atomic.Pointer[listRead]
+}
+
+// listRead is an answer of the store: the serial of the newest list of databases and members, and
+// when the answer arrived.
+type listRead struct {
+	serial uint64
+	at     time.Time
 }
 
 // receivedDoc is a document with its source.
@@ -163,6 +172,32 @@
 
 func (d *Documents) recordStoreAnswer(at time.Time) { d.storeAnswered.Store(&at) }
 
+// MemberList returns the serial of the newest list of databases and members according to the
+// store's last answer to this proxy, and when that arrived.
+func (d *Documents) MemberList() (serial uint64, at time.Time) {
+	if read := d.listRead.Load(); read != nil {
+		return read.serial, read.at
+	}
+	return 0, time.Time{}
+}
+
+// recordListRead records an answer of the store: an object, or that the last one is unchanged. An
+// object that cannot be read proves nothing.
+func (d *Documents) recordListRead(object store.Object, unchanged *store.UnchangedError) {
+	if unchanged != nil {
+		if previous := d.listRead.Load(); previous != nil {
+			d.listRead.Store(&listRead{serial: previous.serial, at: time.Now()})
+		}
+		return
+	}
+	doc, err := book.ParseDoc(book.Databases, object.Value)
+	if err != nil {
+		d.listRead.Store(nil)
+		return
+	}
+	d.listRead.Store(&listRead{serial: doc.Serial, at: time.Now()})
+}
+
 // watch is the background task that follows one document in the store. A proxy that is not
 // one of the store's watchers and receives the document from peers reads the store only
 // occasionally.
@@ -188,6 +223,9 @@
 				d.recordStoreAnswer(time.Now())
 				d.recordSheetRead(object, unchanged)
 			}
+			if kind == book.Databases {
+				d.recordListRead(object, unchanged)
+			}
 			if err == nil {
 				seen = object.Version
 				d.receiveObject(kind, object)
